Add design page, core types, bounded rings and supervisors

Cause: the repository is empty; every later part needs the same folders, types and threading rules to grow on.

Change: docs/design.md states requirements, modules, decisions and the alternatives considered. src/base has strong ids and units, the bounded ring, worker and supervisor (one_for_one, rest_for_one, restart intensity, escalation, ordered stop), typed errors, JSON log lines and rendezvous hashing. src/decision has the vocabulary that decisions and I/O share: requests, configuration, control messages, events, commands.

Conclusion: modules can be written against these interfaces in parallel.

--- /dev/null
+++ b/src/base/error.cpp
@@ -0,0 +1,139 @@
+#include "base/error.h"
+
+namespace bluebell::base {
+
+std::string_view to_string(error_code code) {
+    switch (code) {
+    case error_code::malformed_request:
+        return "malformed_request";
+    case error_code::missing_field:
+        return "missing_field";
+    case error_code::invalid_field:
+        return "invalid_field";
+    case error_code::unknown_client_account:
+        return "unknown_client_account";
+    case error_code::unknown_pool:
+        return "unknown_pool";
+    case error_code::body_too_large:
+        return "body_too_large";
+    case error_code::idempotency_key_required:
+        return "idempotency_key_required";
+    case error_code::key_in_progress:
+        return "key_in_progress";
+    case error_code::key_already_ran:
+        return "key_already_ran";
+    case error_code::queue_full:
+        return "queue_full";
+    case error_code::draining:
+        return "draining";
+    case error_code::not_ready:
+        return "not_ready";
+    case error_code::router_isolated:
+        return "router_isolated";
+    case error_code::no_upstream:
+        return "no_upstream";
+    case error_code::poison_request:
+        return "poison_request";
+    case error_code::deadline_exceeded:
+        return "deadline_exceeded";
+    case error_code::caller_gone:
+        return "caller_gone";
+    case error_code::caller_too_slow:
+        return "caller_too_slow";
+    case error_code::retry_budget_exhausted:
+        return "retry_budget_exhausted";
+    case error_code::internal_failure:
+        return "internal_failure";
+    case error_code::upstream_refused_connection:
+        return "upstream_refused_connection";
+    case error_code::upstream_closed_connection:
+        return "upstream_closed_connection";
+    case error_code::upstream_silent:
+        return "upstream_silent";
+    case error_code::upstream_malformed_answer:
+        return "upstream_malformed_answer";
+    case error_code::upstream_error_status:
+        return "upstream_error_status";
+    case error_code::upstream_stale_fence:
+        return "upstream_stale_fence";
+    case error_code::store_unavailable:
+        return "store_unavailable";
+    case error_code::store_conflict:
+        return "store_conflict";
+    case error_code::store_rate_limited:
+        return "store_rate_limited";
+    case error_code::store_not_found:
+        return "store_not_found";
+    case error_code::store_malformed:
+        return "store_malformed";
+    case error_code::store_answer_lost:
+        return "store_answer_lost";
+    case error_code::value_too_large:
+        return "value_too_large";
+    case error_code::deposed:
+        return "deposed";
+    case error_code::lease_lost:
+        return "lease_lost";
+    case error_code::message_truncated:
+        return "message_truncated";
+    case error_code::message_oversized:
+        return "message_oversized";
+    case error_code::message_wrong_version:
+        return "message_wrong_version";
+    case error_code::message_wrong_fleet:
+        return "message_wrong_fleet";
+    case error_code::message_unknown_sender:
+        return "message_unknown_sender";
+    case error_code::message_stale_incarnation:
+        return "message_stale_incarnation";
+    case error_code::message_malformed:
+        return "message_malformed";
+    case error_code::settings_unreadable:
+        return "settings_unreadable";
+    case error_code::settings_unknown_section:
+        return "settings_unknown_section";
+    case error_code::settings_unknown_key:
+        return "settings_unknown_key";
+    case error_code::settings_duplicate:
+        return "settings_duplicate";
+    case error_code::settings_missing:
+        return "settings_missing";
+    case error_code::settings_invalid_value:
+        return "settings_invalid_value";
+    case error_code::settings_contradiction:
+        return "settings_contradiction";
+    case error_code::note_malformed:
+        return "note_malformed";
+    case error_code::note_unsupported_version:
+        return "note_unsupported_version";
+    case error_code::note_unknown_name:
+        return "note_unknown_name";
+    case error_code::note_duplicate_name:
+        return "note_duplicate_name";
+    case error_code::note_invalid_value:
+        return "note_invalid_value";
+    case error_code::note_conflict:
+        return "note_conflict";
+    case error_code::release_not_in_force:
+        return "release_not_in_force";
+    case error_code::release_digest_mismatch:
+        return "release_digest_mismatch";
+    case error_code::usage:
+        return "usage";
+    case error_code::socket_failure:
+        return "socket_failure";
+    case error_code::address_in_use:
+        return "address_in_use";
+    case error_code::worker_failed:
+        return "worker_failed";
+    case error_code::restart_intensity_exceeded:
+        return "restart_intensity_exceeded";
+    }
+    return "unknown_error";
+}
+
+std::ostream& operator<<(std::ostream& out, error_code code) {
+    return out << to_string(code);
+}
+
+} // namespace bluebell::base
--- /dev/null
+++ b/src/base/ring.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace bluebell::base {
+
+enum class push_result { pushed, full, closed };
+
+/// Bounded queue between threads. Waiting threads block on a condition variable and never spin.
+/// Values already in the ring can still be popped after `close`.
+/// Thread safety: every method may be called from any thread.
+template <typename T>
+class ring {
+public:
+    /// Pre-condition: `capacity` is greater than zero.
+    explicit ring(std::size_t capacity) : slots_(capacity) {}
+    ring(const ring&) = delete;
+    ring& operator=(const ring&) = delete;
+    ring(ring&&) = delete;
+    ring& operator=(ring&&) = delete;
+    ~ring() = default;
+
+    /// Adds a value if there is room. Does not block. `value` is left untouched unless pushed.
+    push_result try_push(T&& value) {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            if (closed_) {
+                return push_result::closed;
+            }
+            if (size_ == slots_.size()) {
+                return push_result::full;
+            }
+            put(std::move(value));
+        }
+        not_empty_.notify_one();
+        return push_result::pushed;
+    }
+
+    /// Adds a value, waiting up to `timeout` for room.
+    push_result push(T value, duration timeout) {
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            not_full_.wait_for(lock, timeout, [this] { return closed_ || size_ < slots_.size(); });
+            if (closed_) {
+                return push_result::closed;
+            }
+            if (size_ == slots_.size()) {
+                return push_result::full;
+            }
+            put(std::move(value));
+        }
+        not_empty_.notify_one();
+        return push_result::pushed;
+    }
+
+    /// Takes the oldest value, waiting up to `timeout`. Empty on timeout, or when closed and drained.
+    std::optional<T> pop(duration timeout) {
+        std::optional<T> taken;
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            not_empty_.wait_for(lock, timeout, [this] { return closed_ || size_ > 0; });
+            if (size_ == 0) {
+                return taken;
+            }
+            taken.emplace(std::move(*slots_[head_]));
+            slots_[head_].reset();
+            head_ = (head_ + 1) % slots_.size();
+            --size_;
+        }
+        not_full_.notify_one();
+        return taken;
+    }
+
+    /// Refuses further values and wakes every waiting thread.
+    void close() {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            closed_ = true;
+        }
+        not_empty_.notify_all();
+        not_full_.notify_all();
+    }
+
+    /// Empties the ring and accepts values again. For a consumer that is restarted.
+    void reopen() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (std::optional<T>& slot : slots_) {
+            slot.reset();
+        }
+        head_ = 0;
+        size_ = 0;
+        closed_ = false;
+    }
+
+    [[nodiscard]] bool closed() const {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return closed_;
+    }
+    [[nodiscard]] std::size_t size() const {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return size_;
+    }
+    [[nodiscard]] std::size_t capacity() const { return slots_.size(); }
+
+private:
+    void put(T&& value) {
+        slots_[(head_ + size_) % slots_.size()].emplace(std::move(value));
+        ++size_;
+    }
+
+    mutable std::mutex mutex_;
+    std::condition_variable not_empty_;
+    std::condition_variable not_full_;
+    std::vector<std::optional<T>> slots_;
+    std::size_t head_ = 0;
+    std::size_t size_ = 0;
+    bool closed_ = false;
+};
+
+} // namespace bluebell::base
--- /dev/null
+++ b/src/decision/event.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "decision/config.h"
+#include "decision/exchange.h"
+#include "decision/journal.h"
+#include "decision/message.h"
+#include "decision/request.h"
+
+#include "base/ring.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bluebell::decision {
+
+/// What the decider is told. Every event arrives over its bounded ring.
+
+struct request_arrived {
+    request what;
+    std::shared_ptr<exchange> with;
+};
+
+struct caller_gone {
+    base::request_id id;
+};
+
+struct attempt_key {
+    base::request_id id;
+    base::attempt_number number;
+
+    friend bool operator==(const attempt_key& a, const attempt_key& b) {
+        return a.id == b.id && a.number == b.number;
+    }
+    friend bool operator<(const attempt_key& a, const attempt_key& b) {
+        return a.id != b.id ? a.id < b.id : a.number < b.number;
+    }
+};
+
+/// The answer goes on; `spent` is the cost of the attempt so far.
+struct attempt_progress {
+    attempt_key attempt;
+    base::cost spent;
+};
+
+struct attempt_ended {
+    attempt_key attempt;
+    attempt_end how;
+};
+
+struct message_received {
+    envelope what;
+    endpoint from;
+};
+
+enum class config_source { store, peer };
+
+/// The release head was read. `config` is set if its revision is higher than the one read before.
+struct release_read {
+    base::revision rev;
+    std::shared_ptr<const fleet_config> config;
+    config_source source = config_source::store;
+    /// Time just before the read was sent.
+    base::time_point read_at;
+};
+
+struct store_failed {
+    base::error cause;
+};
+
+struct vm_entry {
+    base::vm_id vm;
+    base::data_centre_id data_centre;
+    /// Where the router on the VM takes control messages.
+    endpoint control;
+    /// Where the router on the VM takes admin requests.
+    endpoint admin;
+    bool leaving = false;
+};
+
+struct vms_listed {
+    std::vector<vm_entry> vms;
+};
+
+struct upstream_load {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    base::slot_count slots;
+};
+
+struct load_reported {
+    base::upstream_id upstream;
+    upstream_load load;
+    base::time_point read_at;
+};
+
+/// Answer to a `journal_update` or `journal_takeover`.
+struct journal_answered {
+    base::partition_id partition;
+    /// The tail as it now stands in the store, with its version, if it is known.
+    std::optional<journal_tail> tail;
+    base::object_version version;
+    /// Records of the sealed segments; filled after a takeover only.
+    std::vector<journal_record> sealed;
+    std::optional<base::error> cause;
+};
+
+struct drain_requested {};
+
+/// A snapshot of the decision state, by section, for dump, status and metrics.
+struct state_value {
+    std::string name;
+    /// JSON text of the value.
+    std::string json;
+};
+struct state_section {
+    std::string name;
+    std::vector<state_value> values;
+};
+using state_report = std::vector<state_section>;
+
+struct report_requested {
+    std::shared_ptr<base::ring<state_report>> reply;
+};
+
+using event = std::variant<request_arrived, caller_gone, attempt_progress, attempt_ended, message_received,
+                           release_read, store_failed, vms_listed, load_reported, journal_answered,
+                           drain_requested, report_requested>;
+
+} // namespace bluebell::decision
--- /dev/null
+++ b/src/decision/message.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "base/id.h"
+#include "base/unit.h"
+#include "decision/config.h"
+#include "decision/request.h"
+
+#include <cstdint>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace bluebell::decision {
+
+/// Control messages between routers. Encoding is the business of `fleet/codec`.
+
+enum class liveness { alive, suspect, dead };
+
+/// What one router believes of another; spreads on membership messages.
+struct member_update {
+    base::vm_id vm;
+    base::incarnation life;
+    liveness state = liveness::alive;
+    endpoint address;
+    /// Highest revision that the member is known to have in force.
+    base::revision in_force;
+};
+
+struct ping {
+    std::uint64_t nonce = 0;
+    std::vector<member_update> updates;
+};
+
+struct ack {
+    std::uint64_t nonce = 0;
+    std::vector<member_update> updates;
+};
+
+/// Asks the receiver to probe `target` and to pass the acknowledgement on.
+struct ping_request {
+    std::uint64_t nonce = 0;
+    base::vm_id target;
+};
+
+struct held_grant {
+    base::grant_id id;
+    base::upstream_id upstream;
+};
+
+/// Waiting work of one router for one pool; `waiting` is zero when it only reports the grants in use.
+struct bid {
+    base::pool_id pool;
+    base::client_account_id account;
+    /// Lowest key among the waiting requests: normalised service less the boost of the class.
+    base::normalised_cost key;
+    /// Normalised service of the account, without boost.
+    base::normalised_cost start_tag;
+    request_class priority = request_class::ordinary;
+    std::uint32_t waiting = 0;
+    /// Grants of the receiver in use or on their way back; a full list, so that the owner can repair its
+    /// table.
+    std::vector<held_grant> held;
+    /// Start number of the bid; the owner ignores an older one that arrives late.
+    std::uint64_t sequence = 0;
+};
+
+/// Permission to use one slot of one upstream once.
+struct grant {
+    base::grant_id id;
+    base::pool_id pool;
+    base::upstream_id upstream;
+};
+
+struct release {
+    base::grant_id id;
+    base::pool_id pool;
+    base::upstream_id upstream;
+};
+
+/// Cumulative service that the sender gave to an account in this life.
+struct usage_entry {
+    base::pool_id pool;
+    base::client_account_id account;
+    base::cost own_total;
+    /// Highest fleet total known to the sender; lets a new home start from it.
+    base::cost known_total;
+};
+
+struct usage {
+    std::vector<usage_entry> entries;
+};
+
+struct usage_total_entry {
+    base::pool_id pool;
+    base::client_account_id account;
+    base::cost fleet_total;
+    /// The receiver's own total that is contained in `fleet_total`.
+    base::cost receiver_part;
+};
+
+struct usage_total {
+    std::vector<usage_total_entry> entries;
+};
+
+enum class key_state { claimed, ran, released };
+
+struct claim {
+    base::partition_id partition;
+    base::key_hash key;
+    base::request_id attempt;
+};
+
+enum class claim_answer {
+    granted,     ///< recorded for this attempt; it may be dispatched
+    in_progress, ///< recorded for another attempt that has not ended
+    already_ran, ///< another attempt ran
+    not_owner,   ///< the receiver does not own the partition
+    unavailable, ///< the store does not answer
+};
+
+struct claim_result {
+    base::partition_id partition;
+    base::key_hash key;
+    base::request_id attempt;
+    claim_answer answer = claim_answer::unavailable;
+};
+
+enum class settlement { ran, not_run };
+
+struct settle {
+    base::partition_id partition;
+    base::key_hash key;
+    base::request_id attempt;
+    settlement result = settlement::ran;
+};
+
+/// Tells the sender of `settle` that it is recorded, so that it stops repeating it.
+struct settle_ack {
+    base::key_hash key;
+    base::request_id attempt;
+};
+
+struct crash_report {
+    base::fingerprint body;
+    base::upstream_id upstream;
+};
+
+using message = std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim,
+                             claim_result, settle, settle_ack, crash_report>;
+
+struct pool_time {
+    base::pool_id pool;
+    base::normalised_cost virtual_time;
+};
+
+/// What every datagram carries beside its message.
+struct message_header {
+    base::vm_id sender;
+    base::incarnation life;
+    std::uint64_t sequence = 0;
+    base::revision in_force;
+    /// Time since the sender, or a peer it heard, read the release head from the store.
+    base::duration confirmation_age{};
+    std::vector<pool_time> virtual_times;
+};
+
+struct envelope {
+    message_header header;
+    message body;
+};
+
+/// A message to one router.
+struct outgoing {
+    base::vm_id to;
+    message body;
+};
+
+} // namespace bluebell::decision
--- /dev/null
+++ b/src/platform/store.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/id.h"
+#include "base/unit.h"
+#include "decision/event.h"
+
+#include <string>
+#include <vector>
+
+namespace bluebell::platform {
+
+struct stored_object {
+    std::string value;
+    base::object_version version;
+};
+
+/// The platform's object store.
+/// Errors of every method: `store_unavailable` (no effect is possible), `store_answer_lost` (the call may
+/// have taken effect), `store_rate_limited`, `store_malformed`. Thread safety: one instance is used by one
+/// thread.
+class object_store {
+public:
+    object_store() = default;
+    object_store(const object_store&) = delete;
+    object_store& operator=(const object_store&) = delete;
+    object_store(object_store&&) = delete;
+    object_store& operator=(object_store&&) = delete;
+    virtual ~object_store() = default;
+
+    /// Further error: `store_not_found`.
+    virtual base::result<stored_object> read(const base::object_name& name) = 0;
+    /// Replaces the object if it still has version `expected`; version zero means that it must not exist.
+    /// Returns the new version. Further errors: `store_conflict`, `value_too_large`.
+    virtual base::result<base::object_version> update(const base::object_name& name, const std::string& value,
+                                                      base::object_version expected) = 0;
+    /// Waits until the object has another version than `known`, at most `timeout`. Returns the object as it
+    /// then is. Further error: `store_not_found`.
+    virtual base::result<stored_object> watch(const base::object_name& name, base::object_version known,
+                                              base::duration timeout) = 0;
+    /// Further errors: `store_conflict`, `store_not_found`.
+    virtual base::result<void> remove(const base::object_name& name, base::object_version expected) = 0;
+    virtual base::result<std::vector<base::object_name>> list(const std::string& prefix) = 0;
+};
+
+/// The platform's list of VMs. Lags behind the truth.
+/// Thread safety: one instance is used by one thread.
+class vm_list {
+public:
+    vm_list() = default;
+    vm_list(const vm_list&) = delete;
+    vm_list& operator=(const vm_list&) = delete;
+    vm_list(vm_list&&) = delete;
+    vm_list& operator=(vm_list&&) = delete;
+    virtual ~vm_list() = default;
+
+    virtual base::result<std::vector<decision::vm_entry>> read() = 0;
+};
+
+} // namespace bluebell::platform
