--- a/src/decision/command.h
+++ b/src/decision/command.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "decision/event.h"
+#include "decision/lease.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <variant>
+#include <vector>
 
 namespace bluebell::decision {
 
@@ -32,22 +36,31 @@
 struct journal_update {
     journal_tail tail;
     base::object_version expected;
-    struct sealed_segment {
-        segment_name name;
-        std::vector<journal_record> records;
-    };
-    std::optional<sealed_segment> seal;
+    /// Name of the new segment and the records that leave the tail.
+    std::optional<journal_segment> seal;
+    /// Segments whose records are merged into the new one. They are removed after the commit.
+    std::vector<segment_name> merged;
+    /// Segments that the new tail no longer lists because they expired. They are removed after the commit.
+    std::vector<segment_name> expired;
+    /// Records written before are left out of the merged segment.
+    std::uint32_t oldest_s = 0;
+    /// Repeated in the answer.
+    std::uint64_t ticket = 0;
 };
 
 /// Reads the tail, raises its epoch for the new owner by a conditional update and reads the segments.
 struct journal_takeover {
     base::partition_id partition;
     base::vm_id new_owner;
-    /// Segments whose newest record is older are left out.
-    std::uint32_t oldest_s = 0;
+    base::incarnation life;
+    /// Segments whose newest record is older than this before the journal time of the tail are left out.
+    std::uint32_t retention_s = 0;
+    /// Repeated in the answer.
+    std::uint64_t ticket = 0;
 };
 
-using journal_command = std::variant<journal_update, journal_takeover>;
+/// What the journal worker carries out, one after the other.
+using journal_command = std::variant<journal_update, journal_takeover, lease_read, lease_update>;
 
 /// Fetches a revision that a control message told of.
 struct fetch_release {
--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -3,6 +3,7 @@
 #include "decision/config.h"
 #include "decision/exchange.h"
 #include "decision/journal.h"
+#include "decision/lease.h"
 #include "decision/message.h"
 #include "decision/request.h"
 
@@ -99,6 +100,8 @@
 /// Answer to a `journal_update` or `journal_takeover`.
 struct journal_answered {
     base::partition_id partition;
+    /// Repeats that of the command.
+    std::uint64_t ticket = 0;
     /// The tail as it now stands in the store, with its version, if it is known.
     std::optional<journal_tail> tail;
     base::object_version version;
@@ -127,6 +130,6 @@
 
 using event = std::variant<request_arrived, caller_gone, attempt_progress, attempt_ended, message_received,
                            release_read, store_failed, vms_listed, load_reported, journal_answered,
-                           drain_requested, report_requested>;
+                           lease_answered, drain_requested, report_requested>;
 
 } // namespace bluebell::decision
--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -116,6 +116,8 @@
     already_ran, ///< another attempt ran
     not_owner,   ///< the receiver does not own the partition
     unavailable, ///< the store does not answer
+    overloaded,  ///< a table of the owner is full
+    withdrawn,   ///< the attempt was settled as `not_run`
 };
 
 struct claim_result {
