--- a/src/decision/claim.h
+++ b/src/decision/claim.h
@@ -38,7 +38,7 @@
     base::duration outage_pause = std::chrono::milliseconds(500);
     /// Claims from submission to the acknowledgement of their settlement.
     std::size_t attempts = 16384;
-    /// Repeats sent by one tick; bounds the control traffic after an outage.
+    /// Settlements repeated by one tick; bounds the control traffic after an outage.
     std::size_t repeats = 64;
 };
 
@@ -110,14 +110,15 @@
         base::time_point next_send;
         base::duration interval{};
     };
-    using attempt_map = std::unordered_map<base::request_id, attempt_state>;
 
     void send(const base::request_id& attempt, attempt_state& state, base::time_point now,
               client_actions& actions) const;
-    void settle_attempt(const base::request_id& attempt, attempt_state& state, settlement result,
+    void begin_settling(const base::request_id& attempt, attempt_state& state, settlement result,
                         base::time_point now, client_actions& actions) const;
-    void refuse(const base::request_id& attempt, attempt_state& state, outcome result, base::error cause,
+    void refuse(const base::request_id& attempt, attempt_state& state, const verdict& what,
                 base::time_point now, client_actions& actions) const;
+    void grant_claim(const base::request_id& attempt, attempt_state& state, base::time_point now,
+                     client_actions& actions) const;
     void expire(const base::request_id& attempt, attempt_state& state, base::time_point now,
                 client_actions& actions) const;
 
@@ -125,9 +126,9 @@
     /// Owner of each partition as this router sees the members.
     std::vector<base::vm_id> owners_;
     std::vector<base::time_point> outage_until_;
-    attempt_map attempts_;
-    /// Where the next tick resumes, so that a bounded number of repeats reaches all attempts.
-    std::deque<base::request_id> order_;
+    std::map<base::request_id, attempt_state> attempts_;
+    /// Where the next tick resumes, so that a bounded number of repeats reaches all settlements.
+    base::request_id cursor_;
 };
 
 struct owner_settings {
@@ -142,11 +143,12 @@
     std::size_t merge_fan_in = 8;
     /// Messages of one partition that wait for a commit.
     std::size_t waiting = 512;
-    /// Keys and released attempts in memory per partition; at about 100 B each, 64 partitions on one router
-    /// need 64 MB at most.
+    /// Keys and released attempts in memory per partition above which new keys are refused. At about 100 B
+    /// each, 64 partitions on one router need 64 MB at most.
     std::size_t keys = 10000;
-    /// Released attempts remembered per key.
-    std::size_t released_per_key = 16;
+    /// As `keys`, for releases of unknown keys: above it they are acknowledged without being recorded, and a
+    /// late copy of the released claim could block its key until the retention ends.
+    std::size_t releases = 12000;
     /// Must exceed the longest deadline of a request.
     base::duration retention = std::chrono::hours(24);
     /// A write that takes longer counts as a store outage: claims are refused instead of waiting.
@@ -210,7 +212,13 @@
     struct key_entry {
         /// The attempt that is not released, if any.
         std::optional<journal_record> holder;
+        /// Sorted by attempt.
         std::vector<released_attempt> released;
+
+        [[nodiscard]] bool has_released(const base::request_id& attempt) const;
+        void add_released(const base::request_id& attempt, std::uint32_t written_s);
+        void remove_released(const base::request_id& attempt);
+        [[nodiscard]] std::size_t size() const { return released.size() + (holder ? 1 : 0); }
     };
     struct waiting_message {
         base::vm_id from;
@@ -231,50 +239,66 @@
     };
     struct partition {
         base::partition_id id;
+        /// The members as this router sees them make it the owner.
         bool assigned = false;
         phase at = phase::idle;
         std::optional<command_in_flight> in_flight;
         /// Last tail known to be in the store, and its version.
         journal_tail tail;
         base::object_version version;
-        /// Last batch number issued; also counts updates whose fate is not known.
+        /// Last batch and segment numbers issued; they also count updates whose fate is not known.
         std::uint64_t batch = 0;
         std::uint32_t segment = 0;
         std::unordered_map<base::key_hash, key_entry> keys;
+        /// Sum of the sizes of all entries in `keys`.
         std::size_t entries = 0;
         std::deque<waiting_message> waiting;
         base::time_point next_write;
-        /// Journal time `clock_base_s` corresponds to this time.
+        /// No command is issued and claims get `blocked_answer` until then.
+        base::time_point blocked_until;
+        claim_answer blocked_answer = claim_answer::not_owner;
+        /// Time at which the journal time was `tail.clock_s` of the takeover.
         base::time_point clock_from;
         std::uint32_t clock_base_s = 0;
         base::time_point next_expiry;
     };
     using staged_records = std::vector<journal_record>;
 
-    /// The answer that the committed state gives, or empty if a write is needed first.
-    [[nodiscard]] std::optional<message> resolve(const partition& part, const waiting_message& what) const;
-    [[nodiscard]] bool stage(const partition& part, const waiting_message& what, std::uint32_t now_s,
-                             staged_records& staged);
     [[nodiscard]] owner_actions accept(base::partition_id id, waiting_message what, base::time_point now);
-    [[nodiscard]] bool outage(const partition& part, base::time_point now) const;
-    [[nodiscard]] bool full(const partition& part, const waiting_message& what) const;
-    [[nodiscard]] std::uint32_t journal_time(const partition& part, base::time_point now) const;
+    /// Why a claim cannot wait for a commit now.
+    [[nodiscard]] std::optional<claim_answer> obstacle(const partition& part, base::time_point now) const;
+    [[nodiscard]] bool store_out(base::time_point now) const;
+    /// The answer that the committed state gives, or empty if a write is needed first.
+    [[nodiscard]] std::optional<message> resolve(const partition& part, const waiting_message& what);
+    [[nodiscard]] std::optional<claim_answer> resolve_claim(const partition& part,
+                                                            const waiting_message& what) const;
+    [[nodiscard]] bool resolve_settle(const partition& part, const waiting_message& what);
+    void enqueue(partition& part, waiting_message what, owner_actions& actions);
+
+    void start(partition& part, base::time_point now, owner_actions& actions);
+    [[nodiscard]] std::optional<journal_command> next_command(partition& part, base::time_point now);
     [[nodiscard]] journal_update build_update(partition& part, const staged_records& staged,
-                                              std::uint32_t now_s);
+                                              base::time_point now);
     void add_seal(partition& part, journal_update& update);
-    void start(partition& part, base::time_point now, owner_actions& actions);
-    void start_update(partition& part, base::time_point now, owner_actions& actions);
+    /// Adds the record that `what` asks for, on top of the committed state and what is staged already.
+    static void stage_message(const partition& part, const waiting_message& what, std::uint32_t now_s,
+                              staged_records& staged);
+    [[nodiscard]] std::uint32_t journal_time(const partition& part, base::time_point now) const;
+    [[nodiscard]] std::uint32_t retention_s() const;
+
+    void answered_update(partition& part, const journal_answered& answer, base::time_point now,
+                         owner_actions& actions);
+    void answered_takeover(partition& part, const journal_answered& answer, base::time_point now,
+                           owner_actions& actions);
+    void adopt(partition& part, const journal_answered& answer);
     void apply(partition& part, const journal_record& record);
-    void apply_holder(partition& part, key_entry& entry, const journal_record& record);
-    void adopt(partition& part, const journal_answered& answer, base::time_point now);
-    void taken(partition& part, const journal_answered& answer, base::time_point now);
     void depose(partition& part, base::time_point now, owner_actions& actions);
-    void forget(partition& part);
-    void failed(partition& part, base::time_point now, owner_actions& actions);
+    void fail(partition& part, const base::error& cause, base::time_point now, owner_actions& actions);
+    void hand_back(partition& part, owner_actions& actions) const;
     void answer_resolved(partition& part, owner_actions& actions);
-    void refuse_claims(partition& part, claim_answer why, base::time_point arrived_before,
-                       owner_actions& actions);
-    void expire(partition& part, base::time_point now);
+    void refuse_claims(partition& part, claim_answer why, base::time_point arrived_until,
+                       owner_actions& actions) const;
+    void expire(partition& part, base::time_point now) const;
 
     const base::vm_id self_;
     const base::incarnation life_;
@@ -282,12 +306,15 @@
     std::mt19937_64 random_;
     std::vector<partition> partitions_;
     std::uint64_t next_ticket_ = 1;
-    /// The store did not answer; until then no claim is accepted.
-    base::time_point outage_until_;
+    std::size_t in_flight_ = 0;
+    /// The last command failed. Until one succeeds, a single command at a time probes the store, the next one
+    /// at `probe_at_`, and claims are refused meanwhile.
+    bool store_failed_ = false;
+    base::time_point probe_at_;
     owner_counters counters_;
 };
 
-/// The answer to a journal command that could not be handed to the worker.
-journal_answered refused_command(const journal_command& command);
+/// The answer to a journal command that could not be handed to the worker, with cause `queue_full`.
+event refused_command(const journal_command& command);
 
 } // namespace bluebell::decision
