--- a/src/decision/lease.h
+++ b/src/decision/lease.h
@@ -5,8 +5,8 @@
 #include "base/id.h"
 #include "base/unit.h"
 
+#include <cstdint>
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -20,7 +20,8 @@
     base::incarnation life;
     /// Raised by each acquisition, kept by renewals; the fencing token of orders.
     base::epoch generation;
-    /// Grows with each write of a generation, so that a write can be recognised when it is read back.
+    /// Number of the write within the life of the holder. No two writes are equal, so a write that lands late
+    /// is not mistaken for a later one, whose term would be counted from a later time.
     std::uint64_t renewal = 0;
     base::duration term{};
 };
@@ -59,6 +60,8 @@
     base::duration renewal = std::chrono::seconds(2);
     /// Interval between reads of a lease that another router holds.
     base::duration poll = std::chrono::seconds(2);
+    /// Interval between commands while the store does not answer.
+    base::duration retry = std::chrono::milliseconds(500);
     /// A command without an answer for this long is given up; its late answer is ignored.
     base::duration answer_limit = std::chrono::seconds(30);
 };
@@ -98,11 +101,11 @@
         std::optional<lease_record> written;
     };
 
-    [[nodiscard]] std::vector<lease_command> step(base::time_point now);
+    [[nodiscard]] std::optional<lease_command> next_command(base::time_point now);
     [[nodiscard]] lease_command read(base::time_point now);
-    [[nodiscard]] lease_command write(lease_record record, base::time_point now);
-    [[nodiscard]] lease_record next_record(bool keep_generation) const;
-    [[nodiscard]] bool own(const lease_record& record) const;
+    [[nodiscard]] lease_command write(const base::vm_id& holder, base::epoch generation,
+                                      base::time_point now);
+    [[nodiscard]] bool own() const;
     [[nodiscard]] bool free_to_take(base::time_point now) const;
     void confirmed(const lease_record& record, base::time_point sent, base::time_point now);
     void seen(const lease_answered& answer, base::time_point now);
@@ -112,10 +115,14 @@
     const base::incarnation life_;
     const lease_settings settings_;
     bool wanted_ = false;
+    /// A write of this router may stand in the store.
+    bool may_hold_ = false;
     std::uint64_t next_ticket_ = 1;
+    std::uint64_t writes_ = 0;
     std::optional<command_in_flight> in_flight_;
-    /// What the store holds, as last read or written, and since when this version is known.
+    /// False if the store may have changed by a write of this router whose answer was lost.
     bool known_ = false;
+    /// What the store holds as last read or written, and when this version was first seen.
     std::optional<lease_record> stored_;
     base::object_version version_;
     base::time_point version_since_;
