--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -53,8 +53,10 @@
     base::client_account_id account;
     /// Lowest key among the waiting requests: normalised service less the boost of the class.
     base::normalised_cost key;
-    /// Normalised service of the account, without boost.
+    /// Lowest normalised service among the waiting accounts, without boost; advances the virtual time.
     base::normalised_cost start_tag;
+    /// Keys of the requests that would be dispatched after the first one, in order; a few at most.
+    std::vector<base::normalised_cost> next_keys;
     request_class priority = request_class::ordinary;
     std::uint32_t waiting = 0;
     /// Grants of the receiver in use or on their way back; a full list, so that the owner can repair its
@@ -75,15 +77,22 @@
     base::grant_id id;
     base::pool_id pool;
     base::upstream_id upstream;
+    /// No request was started; the owner offers this slot to other routers first.
+    bool unused = false;
 };
 
-/// Cumulative service that the sender gave to an account in this life.
+/// Cumulative service that the sender gave to an account in this life, divided by the weight in force at the
+/// time, so that a later change of the weight does not rescale the past.
 struct usage_entry {
     base::pool_id pool;
     base::client_account_id account;
-    base::cost own_total;
-    /// Highest fleet total known to the sender; lets a new home start from it.
-    base::cost known_total;
+    base::normalised_cost own_total;
+    /// Last fleet total known to the sender; lets a new home start from it.
+    base::normalised_cost known_total;
+    /// The part of `own_total` that `known_total` contains.
+    base::normalised_cost known_part;
+    /// The sender has requests of the account waiting.
+    bool backlogged = false;
 };
 
 struct usage {
@@ -93,9 +102,12 @@
 struct usage_total_entry {
     base::pool_id pool;
     base::client_account_id account;
-    base::cost fleet_total;
+    base::normalised_cost fleet_total;
     /// The receiver's own total that is contained in `fleet_total`.
-    base::cost receiver_part;
+    base::normalised_cost receiver_part;
+    /// The home counts the receiver, or another router, as backlogged with the account.
+    bool receiver_backlogged = false;
+    bool others_backlogged = false;
 };
 
 struct usage_total {
