Add fair sharing, queues, permits and their measurement

Cause: routers need one fair order over accounts that arrive unevenly, and slots of upstreams that are neither idle nor granted twice.

Change: share (normalised service, virtual time, hint correction, home side), queue (bounded, ordered by key), permit (owner and bidder side), schedule (facade) and bench/measure, which drives them against one central queue and independent routers.

--- /dev/null
+++ b/bench/measure.cpp
@@ -0,0 +1,120 @@
+#include "bench/fleet.h"
+
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace {
+
+using namespace bluebell;
+using bench::mode;
+
+constexpr char help[] = R"(Measures fair sharing and permits against baselines, from a fixed seed.
+
+Usage:
+  measure [--csv] [--seconds N] [--seed N] [--only NAME]
+
+Options:
+  --csv        Write CSV instead of a table.
+  --seconds N  Simulated time of each run [default: 90].
+  --seed N     Seed of arrivals, costs, hints and message delays [default: 1].
+  --only NAME  Run one scenario.
+)";
+
+/// Every account but the last four wants more than its share.
+double mixed(int account, double) {
+    return account < 12 ? 1.6 : 0.5;
+}
+
+int anywhere(int, double draw, int routers) {
+    return static_cast<int>(draw * routers);
+}
+
+std::vector<bench::scenario> scenarios() {
+    std::vector<bench::scenario> all;
+    all.push_back({"even", anywhere, mixed});
+    all.push_back({"one-class", anywhere, mixed, -1, false, false, true});
+    all.push_back({"low-load", anywhere, [](int, double) { return 0.85; }});
+    all.push_back({"one-router", [](int, double, int) { return 0; }, mixed});
+    // Each account enters at one router; a few of them share it.
+    all.push_back(
+        {"by-account", [](int account, double, int routers) { return account % 4 % routers; }, mixed});
+    all.push_back({"uneven", anywhere, [](int account, double time) {
+                       const bool on = static_cast<int>(time / 5) % 4 != account % 4;
+                       return account < 4 ? 1.2 : on ? 2.0 : 0.0;
+                   }});
+    all.push_back({"flood",
+                   [](int account, double draw, int routers) {
+                       return account == 5 ? 0 : anywhere(account, draw, routers);
+                   },
+                   [](int account, double) { return account == 5  ? 60.0
+                                                    : account < 4 ? 1.3
+                                                                  : 0.9; }});
+    all.push_back({"false-hints", anywhere, mixed, 6});
+    all.push_back({"router-loss", anywhere, mixed, -1, true});
+    all.push_back({"service", anywhere, mixed, -1, false, true});
+    return all;
+}
+
+const char* name_of(mode how) {
+    return how == mode::shared ? "shared" : how == mode::central ? "central" : "independent";
+}
+
+constexpr const char* columns[] = {"gap",   "gap_x", "busy%",   "busy_x", "urg50", "urg95",
+                                   "ord50", "ord95", "pat50",   "pat95",  "B/n/s", "msg/n/s",
+                                   "bid",   "grant", "release", "usage",  "total", "done"};
+
+void print(bool csv, const std::string& where, const std::string& what, mode how, const bench::figures& got,
+           const bench::figures& central) {
+    std::vector<double> values{got.gap, got.gap / central.gap, 100 * got.busy, got.busy / central.busy};
+    for (const auto& of_class : got.wait_ms) {
+        values.insert(values.end(), of_class.begin(), of_class.end());
+    }
+    values.push_back(got.bytes_per_node_second);
+    values.push_back(got.messages_per_node_second);
+    values.insert(values.end(), got.bytes_by_type.begin(), got.bytes_by_type.end());
+    values.push_back(static_cast<double>(got.finished));
+    std::printf(csv ? "%s,%s,%s" : "%-12s %-11s %-11s", where.c_str(), what.c_str(), name_of(how));
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        const int digits = i == 1 || i == 3 ? 3 : i == 2 ? 2 : 0;
+        std::printf(csv ? ",%.*f" : " %7.*f", digits, values[i]);
+    }
+    std::puts("");
+}
+
+void print_title(bool csv) {
+    std::printf(csv ? "%s,%s,%s" : "%-12s %-11s %-11s", "deployment", "scenario", "mode");
+    for (const char* column : columns) {
+        std::printf(csv ? ",%s" : " %7s", column);
+    }
+    std::puts("");
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const std::map<std::string, docopt::value> options =
+        docopt::docopt(help, {argv + 1, argv + argc}, true, "");
+    const bool csv = options.at("--csv").asBool();
+    const base::duration length = std::chrono::seconds(options.at("--seconds").asLong());
+    const std::uint64_t seed = static_cast<std::uint64_t>(options.at("--seed").asLong());
+    const std::vector<bench::deployment> deployments{
+        {"oslo", 9, 20, 4, std::chrono::microseconds(1500)},
+        {"mekong-south", 9, 20, 4, std::chrono::microseconds(500)},
+    };
+    print_title(csv);
+    for (const bench::deployment& where : deployments) {
+        for (const bench::scenario& what : scenarios()) {
+            if (options.at("--only") && options.at("--only").asString() != what.name) {
+                continue;
+            }
+            bench::figures central;
+            for (const mode how : {mode::central, mode::shared, mode::independent}) {
+                const bench::figures got = bench::fleet(where, what, how, seed).run(length);
+                central = how == mode::central ? got : central;
+                print(csv, where.name, what.name, how, got, central);
+            }
+        }
+    }
+    return 0;
+}
--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -77,7 +77,7 @@
     base::grant_id id;
     base::pool_id pool;
     base::upstream_id upstream;
-    /// No request was started; the owner offers this slot to other routers first.
+    /// Work waited, but none that may run on this upstream; the owner offers the slot to other routers first.
     bool unused = false;
 };
 
--- /dev/null
+++ b/src/decision/permit.h
@@ -0,0 +1,244 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "base/unit.h"
+#include "decision/config.h"
+#include "decision/event.h"
+#include "decision/message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace bluebell::decision {
+
+struct permit_options {
+    /// A grant that the bidder has not listed as held after this time returns to the owner.
+    base::duration take_up_limit = std::chrono::milliseconds(250);
+    /// How long a new owner listens to bids before it grants.
+    base::duration learning = std::chrono::milliseconds(200);
+    /// Standing bids and lists of held grants are repeated at this interval.
+    base::duration bid_interval = std::chrono::milliseconds(200);
+    /// Shortest time between bids that only change a key.
+    base::duration bid_change_interval = std::chrono::milliseconds(20);
+    /// A bid that was not repeated for this time is dropped.
+    base::duration bid_lifetime = std::chrono::seconds(1);
+    /// An upstream that a bidder handed back unused is not offered to it again for this time.
+    base::duration unused_hold = std::chrono::milliseconds(100);
+    /// Ended grants are remembered for this time, so that a late message does not revive them.
+    base::duration ended_memory = std::chrono::seconds(2);
+    /// Older load reports do not count as fresh.
+    base::duration load_lifetime = std::chrono::seconds(3);
+    /// Owners that get every bid of a pool; one more rotates.
+    std::size_t bid_fanout = 8;
+    /// Keys in a bid after the first one.
+    std::size_t next_keys = 3;
+};
+
+/// Set of grants that ended lately.
+/// Thread safety: used by one thread.
+class ended_grants {
+public:
+    void add(base::grant_id id, base::time_point now, base::duration memory);
+    [[nodiscard]] bool contains(base::grant_id id) const { return ids_.count(id) > 0; }
+
+private:
+    std::unordered_set<base::grant_id> ids_;
+    std::vector<std::pair<base::time_point, base::grant_id>> order_;
+    std::size_t oldest_ = 0;
+};
+
+/// Waiting work of one router for one pool.
+struct demand {
+    std::size_t waiting = 0;
+    base::client_account_id account;
+    request_class priority = request_class::ordinary;
+    /// Keys in order of dispatch; not empty if work waits.
+    std::vector<base::normalised_cost> keys;
+    /// Lowest normalised service among the waiting accounts.
+    base::normalised_cost start_tag;
+};
+
+/// A slot given to a router.
+struct decided_grant {
+    base::vm_id to;
+    grant what;
+    /// Lowest start tag among all bids that the owner knew.
+    base::normalised_cost lowest_start_tag;
+};
+
+/// Owner side: the slots of the upstreams that this router owns.
+/// Thread safety: used by one thread.
+class permit_owner {
+public:
+    permit_owner(base::vm_id self, base::incarnation life, const permit_options& options);
+
+    /// Sets the upstreams that this router owns. A new one gives no grant before the learning time is over;
+    /// an upstream that moved away is forgotten with its grants.
+    void set_owned(const std::vector<upstream>& owned, base::time_point now, bool learn = true);
+    /// In a partition only the visible part of the listed members competes for the slots.
+    void set_visible(std::size_t visible, std::size_t listed);
+    /// Returns the grants of a router and drops its bids.
+    void lose_member(const base::vm_id& member, base::time_point now);
+
+    void receive(const base::vm_id& from, base::incarnation life, const bid& body, base::time_point now);
+    /// Frees the slot of a grant; unknown and repeated ones are ignored.
+    void receive(const base::vm_id& from, const release& body, base::time_point now);
+    /// Counts a grant that this router holds itself and got from an earlier owner.
+    void adopt(const base::vm_id& holder, const held_grant& held, const base::pool_id& pool,
+               base::time_point now);
+    void report_load(const base::upstream_id& id, const upstream_load& load, base::time_point read_at,
+                     base::time_point now);
+    void stop_upstream(const base::upstream_id& id, bool stop);
+
+    using gate = std::function<bool(const base::upstream_id&)>;
+    /// Gives the next free slot of a pool to the lowest bid, if there are both. `local` is the own demand.
+    [[nodiscard]] std::optional<decided_grant> next(const base::pool_id& pool, const demand& local,
+                                                    const gate& may_start, base::time_point now);
+    /// Returns grants not taken up and drops old bids. Returns the pools that have something to grant.
+    std::set<base::pool_id> tick(base::time_point now);
+
+    [[nodiscard]] bool owns(const base::upstream_id& id) const { return slots_.count(id) > 0; }
+    [[nodiscard]] std::size_t outstanding() const { return grants_.size(); }
+    [[nodiscard]] std::int32_t used(const base::upstream_id& id) const;
+    [[nodiscard]] std::uint64_t returned() const { return returned_; }
+
+private:
+    struct slot_state {
+        upstream what;
+        std::int32_t used = 0;
+        /// Most slots in use since the last load report; a report lags behind.
+        std::int32_t peak = 0;
+        /// Slots that may be used in a partition.
+        std::int32_t allowed = 0;
+        base::time_point learning_until{};
+        base::time_point read_at{};
+        bool stopped = false;
+    };
+    struct outstanding_grant {
+        base::upstream_id upstream;
+        base::pool_id pool;
+        base::vm_id holder;
+        base::time_point issued{};
+        bool confirmed = false;
+    };
+    struct standing_bid {
+        base::incarnation life;
+        std::uint64_t sequence = 0;
+        std::vector<base::normalised_cost> keys;
+        base::normalised_cost start_tag;
+        std::size_t waiting = 0;
+        /// Grants under way that the bidder had not seen when it sent the bid.
+        std::size_t pending = 0;
+        base::time_point received{};
+        std::map<base::upstream_id, base::time_point> unused_until;
+    };
+    using pool_bids = std::map<base::vm_id, standing_bid>;
+
+    [[nodiscard]] std::int32_t limit(const slot_state& state) const;
+    [[nodiscard]] std::int32_t partition_share(const slot_state& state) const;
+    [[nodiscard]] slot_state* free_upstream(const base::pool_id& pool, const gate& may_start,
+                                            const std::set<base::upstream_id>& skipped, base::time_point now);
+    /// The bidder with the lowest key that may get `id`; empty if none.
+    [[nodiscard]] base::vm_id lowest_bidder(const base::pool_id& pool, const demand& local,
+                                            const base::upstream_id& id, base::time_point now) const;
+    [[nodiscard]] bool held_back(const base::pool_id& pool, const base::vm_id& bidder,
+                                 const base::upstream_id& id, base::time_point now) const;
+    void drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position, base::time_point now);
+    void repair(const base::vm_id& from, const bid& body, base::time_point now);
+    std::size_t count_pending(const base::vm_id& from, const base::pool_id& pool) const;
+
+    base::vm_id self_;
+    permit_options options_;
+    std::size_t visible_ = 1;
+    std::size_t listed_ = 1;
+    std::uint64_t id_base_;
+    std::uint64_t next_id_ = 0;
+    std::uint64_t returned_ = 0;
+    std::map<base::upstream_id, slot_state> slots_;
+    std::map<base::pool_id, std::vector<base::upstream_id>> pools_;
+    std::unordered_map<base::grant_id, outstanding_grant> grants_;
+    std::map<base::vm_id, std::set<base::grant_id>> by_holder_;
+    std::map<base::pool_id, pool_bids> bids_;
+    std::set<base::upstream_id> stopped_;
+    ended_grants ended_;
+};
+
+/// Bidder side: whom to bid to, when, and which grants are held.
+/// Thread safety: used by one thread.
+class permit_bidder {
+public:
+    permit_bidder(base::vm_id self, const permit_options& options);
+
+    /// Sets the owner of every upstream of the configuration. Grants held move to the new owners.
+    void set_owners(const std::map<base::upstream_id, upstream>& upstreams,
+                    const std::map<base::upstream_id, base::vm_id>& owners);
+    [[nodiscard]] const base::vm_id& owner_of(const base::upstream_id& upstream) const;
+
+    /// Takes a grant. Returns false if it is a repeated one that is held or ended.
+    bool hold(const base::vm_id& from, const grant& what);
+    /// Ends a grant. Returns the current owner of the upstream, to which the release goes; empty if the
+    /// upstream is gone or the grant is unknown.
+    base::vm_id drop(base::grant_id id, base::time_point now);
+    [[nodiscard]] std::size_t held() const { return held_.size(); }
+    /// Grants held of upstreams that `owner` owns.
+    [[nodiscard]] std::vector<std::pair<base::pool_id, held_grant>> held_of(const base::vm_id& owner) const;
+
+    /// The demand of a pool changed; the next `collect` considers it.
+    void touch(const base::pool_id& pool);
+    /// Bids again to every owner, after the membership changed.
+    void bid_again();
+
+    using demand_of = std::function<demand(const base::pool_id&)>;
+    /// Bids that are due at `now`.
+    [[nodiscard]] std::vector<outgoing> collect(const demand_of& current, base::time_point now);
+
+private:
+    struct held_state {
+        grant what;
+        base::vm_id owner;
+    };
+    struct owner_state {
+        base::time_point sent{};
+        bool told_waiting = false;
+        /// A grant arrived that the owner has not seen in a list yet.
+        bool unconfirmed = false;
+        std::set<base::grant_id> held;
+    };
+    struct pool_state {
+        /// Remote owners in the order of preference of this router.
+        std::vector<base::vm_id> order;
+        std::map<base::vm_id, owner_state> owners;
+        std::size_t rotation = 0;
+        base::time_point rotated{};
+        base::time_point changed_sent{};
+        bool touched = false;
+        bool told_waiting = false;
+        std::size_t told_count = 0;
+        std::vector<base::normalised_cost> told_keys;
+    };
+
+    [[nodiscard]] bid make_bid(const base::pool_id& pool, const owner_state& to, const demand& work);
+    void collect_pool(const base::pool_id& pool, pool_state& state, const demand& work, base::time_point now,
+                      std::vector<outgoing>& messages);
+    [[nodiscard]] bool change_due(const pool_state& state, const demand& work, base::time_point now) const;
+
+    base::vm_id self_;
+    permit_options options_;
+    std::map<base::upstream_id, base::vm_id> owner_of_;
+    std::map<base::pool_id, pool_state> pools_;
+    std::set<base::pool_id> active_;
+    std::unordered_map<base::grant_id, held_state> held_;
+    ended_grants ended_;
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace bluebell::decision
--- /dev/null
+++ b/src/decision/queue.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/id.h"
+#include "base/unit.h"
+#include "decision/request.h"
+#include "decision/share.h"
+
+#include <array>
+#include <cstddef>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace bluebell::decision {
+
+struct queue_options {
+    /// Waiting requests of one account in one pool; one flooding account fills only its own part.
+    std::size_t max_per_account = 512;
+    /// Body bytes of all waiting requests.
+    base::byte_count max_body_bytes{std::uint64_t{48} * 1024 * 1024};
+};
+
+struct waiting_request {
+    request what;
+    /// Upstreams that must not run it.
+    std::vector<base::upstream_id> avoid;
+};
+
+/// An account that has requests waiting, as the order sees it.
+struct candidate {
+    base::client_account_id account;
+    base::normalised_cost key;
+    request_class priority = request_class::ordinary;
+    /// Hint of the request that goes first.
+    base::cost hint;
+    std::size_t waiting = 0;
+};
+
+/// Bounded queues of waiting requests per pool, account and class, ordered by key: normalised service less
+/// the boost of the class. Thread safety: used by one thread.
+class queue {
+public:
+    explicit queue(const queue_options& options) : options_(options) {}
+
+    /// Boost of `urgent` over `ordinary` and of `ordinary` over `patient`.
+    void set_boost(const base::pool_id& pool, base::normalised_cost boost);
+
+    /// Adds a request. `normalised` is the service of its account. Error: `queue_full`.
+    /// Pre-condition: the id does not wait yet.
+    base::result<void> push(waiting_request added, base::normalised_cost normalised);
+    /// Takes out a request wherever it waits.
+    std::optional<waiting_request> remove(const base::request_id& id);
+    /// Takes out the request with the lowest key that may run on `target`.
+    std::optional<waiting_request> pop(const base::pool_id& pool, const base::upstream_id& target);
+    /// Takes out the requests whose deadline has come.
+    std::vector<waiting_request> expire(base::time_point now);
+    /// Takes out every request for which `chosen` holds.
+    template <typename Predicate>
+    std::vector<waiting_request> remove_if(Predicate chosen);
+
+    /// Sets the normalised service of an account, which changes the order.
+    void reprice(const share_key& key, base::normalised_cost normalised);
+
+    /// The first accounts in order, at most `count`.
+    [[nodiscard]] std::vector<candidate> first(const base::pool_id& pool, std::size_t count) const;
+    /// Lowest normalised service among the waiting accounts of a pool.
+    [[nodiscard]] std::optional<base::normalised_cost> lowest_service(const base::pool_id& pool) const;
+    [[nodiscard]] std::size_t waiting(const base::pool_id& pool) const;
+    [[nodiscard]] std::size_t waiting(const share_key& key) const;
+    [[nodiscard]] std::size_t size() const { return places_.size(); }
+    [[nodiscard]] base::byte_count body_bytes() const { return body_bytes_; }
+    [[nodiscard]] bool contains(const base::request_id& id) const { return places_.count(id) > 0; }
+    /// Accounts with requests waiting in a pool.
+    [[nodiscard]] std::vector<base::client_account_id> accounts(const base::pool_id& pool) const;
+
+private:
+    static constexpr std::size_t class_count = 3;
+    using waiting_list = std::list<waiting_request>;
+
+    /// Requests of one account in one pool.
+    struct line {
+        std::array<waiting_list, class_count> classes;
+        /// Service of the account when the first request of the class got to the front.
+        std::array<base::normalised_cost, class_count> tags;
+        base::normalised_cost normalised;
+        base::normalised_cost key;
+        std::size_t waiting = 0;
+        std::size_t next_class = 0;
+    };
+    using rank = std::pair<base::normalised_cost, base::client_account_id>;
+    struct pool_lines {
+        base::normalised_cost boost;
+        std::unordered_map<base::client_account_id, line> lines;
+        std::set<rank> by_key;
+        std::set<rank> by_service;
+        std::size_t waiting = 0;
+    };
+    struct place {
+        share_key key;
+        std::size_t of_class = 0;
+        waiting_list::iterator position;
+    };
+
+    [[nodiscard]] static base::normalised_cost boost_of(const pool_lines& pool, std::size_t of_class);
+    static void unrank(pool_lines& pool, const base::client_account_id& account, const line& of);
+    static void enrank(pool_lines& pool, const base::client_account_id& account, line& of);
+    waiting_request take(const place& from);
+
+    queue_options options_;
+    std::map<base::pool_id, pool_lines> pools_;
+    std::unordered_map<base::request_id, place> places_;
+    std::set<std::pair<base::time_point, base::request_id>> deadlines_;
+    base::byte_count body_bytes_;
+};
+
+template <typename Predicate>
+std::vector<waiting_request> queue::remove_if(Predicate chosen) {
+    std::vector<base::request_id> ids;
+    for (const auto& [id, where] : places_) {
+        if (chosen(where.position->what)) {
+            ids.push_back(id);
+        }
+    }
+    std::vector<waiting_request> removed;
+    for (const base::request_id& id : ids) {
+        removed.push_back(*remove(id));
+    }
+    return removed;
+}
+
+} // namespace bluebell::decision
--- a/src/decision/schedule.h
+++ b/src/decision/schedule.h
@@ -11,6 +11,8 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace bluebell::decision {
@@ -29,7 +31,21 @@
     [[nodiscard]] virtual bool can_start(const base::upstream_id& upstream) const = 0;
 };
 
+/// The routers of the fleet as membership sees them.
+struct schedule_members {
+    /// Members that answer, with this router; others lose their bids and grants.
+    std::vector<base::vm_id> live;
+    /// The part of `live` that may own upstreams and homes; leaving members are not in it. All of `live` if
+    /// empty.
+    std::vector<base::vm_id> owners;
+    /// Number of members that should exist; in a partition it decides the share of the slots.
+    std::size_t listed = 1;
+};
+
 struct schedule_options {
+    /// Boost of a class over the next one, in requests of the pool's default cost at weight one.
+    double boost_requests = 4.0;
+
     share_options share;
     queue_options queue;
     permit_options permit;
@@ -70,10 +86,8 @@
     /// with `unknown_client_account` or `unknown_pool`; running requests end normally.
     void configure(std::shared_ptr<const fleet_config> config, base::time_point now);
 
-    /// Sets the membership. `live` holds the members that own upstreams and homes; `listed` is the number of
-    /// members that should exist and decides the share of slots in a partition. A member missing from `live`
-    /// loses its bids and grants.
-    void set_members(std::vector<base::vm_id> live, std::size_t listed, base::time_point now);
+    /// Ownership of upstreams and homes follows at once.
+    void set_members(const schedule_members& members, base::time_point now);
 
     /// Queues a request. Errors, all with outcome `not_run`: `unknown_client_account`, `unknown_pool`,
     /// `queue_full`, `deadline_exceeded`, `invalid_field` (the id is already waiting or running).
@@ -125,8 +139,55 @@
     /// Counters and pool states for dump and metrics.
     [[nodiscard]] std::vector<state_value> report() const;
 
+    [[nodiscard]] const share& shares() const { return share_; }
+    [[nodiscard]] const home& homes() const { return home_; }
+    [[nodiscard]] const permit_owner& owned() const { return owner_; }
+
     static constexpr base::duration tick_interval = std::chrono::milliseconds(10);
     static constexpr std::size_t max_header_pools = 16;
+
+private:
+    struct running_request {
+        grant permit;
+        charge paid;
+    };
+
+    [[nodiscard]] demand demand_of(const base::pool_id& pool) const;
+    [[nodiscard]] base::vm_id home_of(const share_key& key);
+    /// False if the message comes from an earlier life of its sender.
+    bool accept(const message_header& header, base::time_point now);
+    void assign_owners(bool learn, base::time_point now);
+    void serve(const base::pool_id& pool, base::time_point now);
+    /// Starts the best request on a granted slot, or hands the slot back.
+    void use(const grant& permit, base::time_point now);
+    void give_back(const grant& permit, bool unused, base::time_point now);
+    void refuse(waiting_request&& removed, base::error cause);
+    void left_queue(const share_key& key);
+    void reprice(const share_key& key);
+    void reprice_pool(const base::pool_id& pool);
+    void advance(const base::pool_id& pool, base::normalised_cost to);
+    void collect_usage();
+
+    base::vm_id self_;
+    base::incarnation life_;
+    schedule_options options_;
+    const start_gate& gate_;
+    share share_;
+    home home_;
+    queue queue_;
+    permit_owner owner_;
+    permit_bidder bidder_;
+    std::shared_ptr<const fleet_config> config_;
+    schedule_members members_;
+    std::unordered_map<share_key, base::vm_id, share_key_hash> homes_;
+    std::map<base::vm_id, base::incarnation> lives_;
+    std::unordered_map<base::request_id, running_request> running_;
+    std::set<base::pool_id> active_;
+    schedule_output output_;
+    base::time_point now_{};
+    std::uint64_t loop_sequence_ = 0;
+    std::uint64_t unused_ = 0;
+    bool hold_ = false;
 };
 
 } // namespace bluebell::decision
--- /dev/null
+++ b/src/decision/share.cpp
@@ -0,0 +1,268 @@
+#include "decision/share.h"
+
+#include <algorithm>
+
+namespace bluebell::decision {
+namespace {
+
+/// Splits entries into messages that fit a datagram.
+template <typename Message, typename Entry>
+void append_batches(std::vector<outgoing>& messages, const std::map<base::vm_id, std::vector<Entry>>& entries,
+                    std::size_t per_message) {
+    for (const auto& [to, list] : entries) {
+        for (std::size_t first = 0; first < list.size(); first += per_message) {
+            const std::size_t last = std::min(list.size(), first + per_message);
+            Message body;
+            body.entries.assign(list.begin() + static_cast<std::ptrdiff_t>(first),
+                                list.begin() + static_cast<std::ptrdiff_t>(last));
+            messages.push_back(outgoing{to, std::move(body)});
+        }
+    }
+}
+
+} // namespace
+
+void share::configure(std::shared_ptr<const fleet_config> config) {
+    config_ = std::move(config);
+}
+
+base::weight share::weight_of(const base::client_account_id& account) const {
+    if (config_) {
+        const auto found = config_->accounts.find(account);
+        if (found != config_->accounts.end()) {
+            return found->second.share;
+        }
+    }
+    return base::weight(1.0);
+}
+
+base::normalised_cost share::level(const account_state& state) {
+    return state.known_total + (state.own_total - state.known_part) + state.lift;
+}
+
+base::normalised_cost share::normalised(const share_key& key) const {
+    const auto found = accounts_.find(key);
+    return found == accounts_.end() ? virtual_time(key.pool) : level(found->second);
+}
+
+base::cost share::expected(const share_key& key, base::cost hint) const {
+    const auto found = accounts_.find(key);
+    if (found == accounts_.end() || found->second.hint_sum <= 0) {
+        return hint;
+    }
+    const double ratio = found->second.real_sum / found->second.hint_sum;
+    return hint * std::clamp(ratio, options_.lowest_hint_factor, options_.highest_hint_factor);
+}
+
+void share::lift_to_virtual_time(const share_key& key, account_state& state) {
+    const base::normalised_cost floor = virtual_time(key.pool);
+    if (level(state) < floor) {
+        state.lift += floor - level(state);
+    }
+}
+
+void share::set_backlogged(const share_key& key, bool backlogged) {
+    account_state& state = accounts_[key];
+    if (state.backlogged == backlogged) {
+        return;
+    }
+    state.backlogged = backlogged;
+    if (backlogged && !state.others_backlogged) {
+        lift_to_virtual_time(key, state);
+    }
+    state.urgent = backlogged && !state.home_backlogged;
+    dirty_.insert(key);
+}
+
+void share::add(const share_key& key, account_state& state, base::normalised_cost amount) {
+    state.own_total += amount;
+    dirty_.insert(key);
+}
+
+charge share::start(const share_key& key, base::cost hint) {
+    charge running{key, hint, expected(key, hint), weight_of(key.account)};
+    add(key, accounts_[key], running.charged / running.share);
+    return running;
+}
+
+bool share::progress(charge& running, base::cost spent) {
+    if (spent <= running.charged) {
+        return false;
+    }
+    add(running.of, accounts_[running.of], (spent - running.charged) / running.share);
+    running.charged = spent;
+    return true;
+}
+
+void share::finish(charge& running, base::cost spent) {
+    account_state& state = accounts_[running.of];
+    add(running.of, state, (spent - running.charged) / running.share);
+    running.charged = spent;
+    state.real_sum = options_.hint_memory * state.real_sum + spent.value();
+    state.hint_sum = options_.hint_memory * state.hint_sum + running.hint.value();
+}
+
+base::normalised_cost share::virtual_time(const base::pool_id& pool) const {
+    const auto found = times_.find(pool);
+    return found == times_.end() ? base::normalised_cost() : found->second;
+}
+
+bool share::advance(const base::pool_id& pool, base::normalised_cost to) {
+    base::normalised_cost& time = times_[pool];
+    const bool first = time == base::normalised_cost() && to > time;
+    time = std::max(time, to);
+    if (!first) {
+        return false;
+    }
+    // A router that has just started learns the virtual time after its first requests arrived.
+    for (auto& [key, state] : accounts_) {
+        if (key.pool == pool && state.backlogged && !state.heard) {
+            lift_to_virtual_time(key, state);
+        }
+    }
+    return true;
+}
+
+bool share::merge(const usage_total_entry& entry, const message_header& header) {
+    const auto found = accounts_.find(share_key{entry.pool, entry.account});
+    if (found == accounts_.end()) {
+        return false;
+    }
+    account_state& state = found->second;
+    if (header.life == state.home_life && header.sequence <= state.home_sequence) {
+        return false;
+    }
+    state.home_life = header.life;
+    state.home_sequence = header.sequence;
+    state.known_total = entry.fleet_total;
+    state.known_part = entry.receiver_part;
+    state.home_backlogged = entry.receiver_backlogged;
+    state.others_backlogged = entry.others_backlogged;
+    state.heard = true;
+    if (state.home_backlogged || !state.backlogged) {
+        state.lift = base::normalised_cost();
+    }
+    if (state.own_total == state.known_part && state.backlogged == state.home_backlogged) {
+        dirty_.erase(found->first);
+    }
+    return true;
+}
+
+void share::report_again() {
+    for (auto& [key, state] : accounts_) {
+        if (state.backlogged) {
+            state.home_backlogged = false;
+            state.home_life = base::incarnation();
+            dirty_.insert(key);
+        }
+    }
+}
+
+usage_entry share::report_of(const share_key& key, const account_state& state) const {
+    return usage_entry{key.pool,         key.account,     state.own_total, state.known_total + state.lift,
+                       state.known_part, state.backlogged};
+}
+
+std::vector<outgoing> share::collect(const home_of& home, base::time_point now) {
+    std::vector<outgoing> messages;
+    const bool due = now - last_report_ >= options_.report_interval;
+    std::map<base::vm_id, std::vector<usage_entry>> entries;
+    for (const share_key& key : dirty_) {
+        account_state& state = accounts_[key];
+        if (due || state.urgent) {
+            state.urgent = false;
+            entries[home(key)].push_back(report_of(key, state));
+        }
+    }
+    if (due) {
+        last_report_ = now;
+    }
+    append_batches<usage>(messages, entries, options_.entries_per_message);
+    return messages;
+}
+
+void home::receive(const message_header& header, const usage& body,
+                   const std::function<base::normalised_cost(const base::pool_id&)>& virtual_time,
+                   base::time_point now) {
+    for (const usage_entry& entry : body.entries) {
+        merge(header, entry, virtual_time(entry.pool), now);
+    }
+}
+
+bool home::backlogged_beside(const account_total& account, const base::vm_id& member) {
+    return std::any_of(account.parts.begin(), account.parts.end(),
+                       [&](const auto& item) { return item.first != member && item.second.backlogged; });
+}
+
+void home::merge(const message_header& header, const usage_entry& entry, base::normalised_cost virtual_time,
+                 base::time_point now) {
+    const share_key key{entry.pool, entry.account};
+    const auto [position, created] = accounts_.try_emplace(key);
+    account_total& account = position->second;
+    if (created) {
+        account.created = now;
+    }
+    const auto [place, first] = account.parts.try_emplace(header.sender);
+    part& from = place->second;
+    if (first || header.life > from.life) {
+        if (now - account.created <= options_.home_learning) {
+            account.total = std::max(account.total, entry.known_total);
+        }
+        from = part{header.life, 0, entry.known_part, false, false};
+    } else if (header.life < from.life || header.sequence <= from.sequence) {
+        return;
+    }
+    const bool was_idle = !from.backlogged && !backlogged_beside(account, header.sender);
+    account.total += entry.own_total - from.counted;
+    // A new home takes the level from the reports, since it cannot know whether the account was idle.
+    if (was_idle && entry.backlogged && !created) {
+        account.total = std::max(account.total, virtual_time);
+    }
+    from.sequence = header.sequence;
+    from.counted = entry.own_total;
+    from.backlogged = entry.backlogged;
+    from.answer_due = true;
+    changed_.insert(key);
+}
+
+void home::lose_member(const base::vm_id& member) {
+    for (auto& [key, account] : accounts_) {
+        const auto found = account.parts.find(member);
+        if (found != account.parts.end()) {
+            found->second.backlogged = false;
+        }
+    }
+}
+
+std::vector<outgoing> home::collect(base::time_point now) {
+    std::vector<outgoing> messages;
+    if (changed_.empty() || now - last_answer_ < options_.report_interval) {
+        return messages;
+    }
+    last_answer_ = now;
+    std::map<base::vm_id, std::vector<usage_total_entry>> entries;
+    for (const share_key& key : changed_) {
+        account_total& account = accounts_[key];
+        for (auto& [member, item] : account.parts) {
+            if (item.backlogged || item.answer_due) {
+                item.answer_due = false;
+                entries[member].push_back(usage_total_entry{key.pool, key.account, account.total,
+                                                            item.counted, item.backlogged,
+                                                            backlogged_beside(account, member)});
+            }
+        }
+    }
+    changed_.clear();
+    append_batches<usage_total>(messages, entries, options_.entries_per_message);
+    return messages;
+}
+
+std::optional<base::normalised_cost> home::total(const share_key& key) const {
+    const auto found = accounts_.find(key);
+    if (found == accounts_.end()) {
+        return std::nullopt;
+    }
+    return found->second.total;
+}
+
+} // namespace bluebell::decision
--- /dev/null
+++ b/src/decision/share.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "base/unit.h"
+#include "decision/config.h"
+#include "decision/message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace bluebell::decision {
+
+struct share_options {
+    /// Shortest time between two reports to the same home, and between two answers of a home.
+    base::duration report_interval = std::chrono::milliseconds(100);
+    /// Bounds of the ratio of real to hinted cost. The upper bound is wide, since a hint of one token for a
+    /// long answer would otherwise still pay off.
+    double lowest_hint_factor = 1.0 / 64.0;
+    double highest_hint_factor = 1024.0;
+    /// Weight that the past keeps in the ratio with each finished request.
+    double hint_memory = 0.9;
+    /// Keeps a usage message below the size of a datagram.
+    std::size_t entries_per_message = 12;
+    /// How long a new home takes the highest total that routers know for the real one.
+    base::duration home_learning = std::chrono::seconds(1);
+};
+
+/// Names one share: an account within a pool.
+struct share_key {
+    base::pool_id pool;
+    base::client_account_id account;
+
+    friend bool operator==(const share_key& a, const share_key& b) {
+        return a.account == b.account && a.pool == b.pool;
+    }
+    friend bool operator<(const share_key& a, const share_key& b) {
+        return a.pool != b.pool ? a.pool < b.pool : a.account < b.account;
+    }
+};
+
+struct share_key_hash {
+    std::size_t operator()(const share_key& key) const noexcept {
+        return std::hash<base::client_account_id>{}(key.account) * 31 + std::hash<base::pool_id>{}(key.pool);
+    }
+};
+
+/// What one running request has been charged.
+struct charge {
+    share_key of;
+    base::cost hint;
+    base::cost charged;
+    /// Weight at the start; corrections use the same one.
+    base::weight share{1.0};
+};
+
+/// Normalised service of the accounts as this router knows it, and the virtual time of each pool.
+/// Thread safety: used by one thread.
+class share {
+public:
+    explicit share(const share_options& options) : options_(options) {}
+
+    void configure(std::shared_ptr<const fleet_config> config);
+
+    /// Fleet-wide normalised service, raised to the virtual time if the account was idle.
+    [[nodiscard]] base::normalised_cost normalised(const share_key& key) const;
+    [[nodiscard]] base::weight weight_of(const base::client_account_id& account) const;
+    /// Cost that a request with this hint is charged at its start.
+    [[nodiscard]] base::cost expected(const share_key& key, base::cost hint) const;
+
+    /// Tells that requests of the account wait here, or no longer do. An account that was idle starts at the
+    /// virtual time.
+    void set_backlogged(const share_key& key, bool backlogged);
+
+    /// Charges the expected cost at the start of a request.
+    [[nodiscard]] charge start(const share_key& key, base::cost hint);
+    /// Raises the charge to `spent` if it is higher. Returns whether anything was charged.
+    bool progress(charge& running, base::cost spent);
+    /// Corrects the charge to the real cost and learns from the hint.
+    void finish(charge& running, base::cost spent);
+
+    [[nodiscard]] base::normalised_cost virtual_time(const base::pool_id& pool) const;
+    /// Moves the virtual time forward, never back. Returns true if the pool had none before, so that accounts
+    /// already waiting were raised to it.
+    bool advance(const base::pool_id& pool, base::normalised_cost to);
+
+    /// Merges the fleet total that the home sent. Returns false if it is late or the account is not in use.
+    bool merge(const usage_total_entry& entry, const message_header& header);
+    /// Reports to every home again, after homes may have moved.
+    void report_again();
+
+    using home_of = std::function<base::vm_id(const share_key&)>;
+    /// Usage reports that are due at `now`; unanswered ones are repeated.
+    [[nodiscard]] std::vector<outgoing> collect(const home_of& home, base::time_point now);
+
+    [[nodiscard]] std::size_t accounts() const { return accounts_.size(); }
+
+private:
+    struct account_state {
+        base::normalised_cost own_total;
+        base::normalised_cost known_total;
+        base::normalised_cost known_part;
+        /// Raise to the virtual time that the home has not confirmed yet.
+        base::normalised_cost lift;
+        bool backlogged = false;
+        bool others_backlogged = false;
+        /// What the home last said about `backlogged`.
+        bool home_backlogged = false;
+        bool heard = false;
+        bool urgent = false;
+        base::incarnation home_life;
+        std::uint64_t home_sequence = 0;
+        double real_sum = 0;
+        double hint_sum = 0;
+    };
+
+    [[nodiscard]] static base::normalised_cost level(const account_state& state);
+    void lift_to_virtual_time(const share_key& key, account_state& state);
+    void add(const share_key& key, account_state& state, base::normalised_cost amount);
+    [[nodiscard]] usage_entry report_of(const share_key& key, const account_state& state) const;
+
+    share_options options_;
+    std::shared_ptr<const fleet_config> config_;
+    std::unordered_map<share_key, account_state, share_key_hash> accounts_;
+    std::map<base::pool_id, base::normalised_cost> times_;
+    /// Accounts whose state differs from what their home acknowledged.
+    std::set<share_key> dirty_;
+    base::time_point last_report_{};
+};
+
+/// The home side: adds up the service of the accounts whose home is this router.
+/// Thread safety: used by one thread.
+class home {
+public:
+    explicit home(const share_options& options) : options_(options) {}
+
+    /// Merges a report. `virtual_time` raises an account that was idle on all routers.
+    void receive(const message_header& header, const usage& body,
+                 const std::function<base::normalised_cost(const base::pool_id&)>& virtual_time,
+                 base::time_point now);
+    /// Forgets that a lost router has requests waiting; its service remains counted.
+    void lose_member(const base::vm_id& member);
+    /// Answers that are due at `now`.
+    [[nodiscard]] std::vector<outgoing> collect(base::time_point now);
+
+    /// Empty if nothing was reported.
+    [[nodiscard]] std::optional<base::normalised_cost> total(const share_key& key) const;
+    [[nodiscard]] std::size_t accounts() const { return accounts_.size(); }
+
+private:
+    struct part {
+        base::incarnation life;
+        std::uint64_t sequence = 0;
+        base::normalised_cost counted;
+        bool backlogged = false;
+        bool answer_due = false;
+    };
+    struct account_total {
+        base::normalised_cost total;
+        base::time_point created{};
+        std::map<base::vm_id, part> parts;
+    };
+
+    void merge(const message_header& header, const usage_entry& entry, base::normalised_cost virtual_time,
+               base::time_point now);
+    [[nodiscard]] static bool backlogged_beside(const account_total& account, const base::vm_id& member);
+
+    share_options options_;
+    std::unordered_map<share_key, account_total, share_key_hash> accounts_;
+    std::set<share_key> changed_;
+    base::time_point last_answer_{};
+};
+
+} // namespace bluebell::decision
