--- a/src/decision/config.h
+++ b/src/decision/config.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace bluebell::decision {
 
@@ -39,6 +41,11 @@
     }
 };
 
+/// The form `ADDRESS:PORT`.
+std::string to_string(const endpoint& value);
+/// Reads `ADDRESS:PORT` with a dotted IPv4 address and a port above zero. Empty if malformed.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+
 /// `departing` is the first of the two revisions that withdraw an upstream.
 enum class upstream_state { active, departing };
 
--- /dev/null
+++ b/src/platform/http.cpp
@@ -0,0 +1,293 @@
+#include "platform/http.h"
+
+#include <cctype>
+#include <charconv>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/ioerror.h>
+#include <cxxtools/json.h>
+#include <cxxtools/serializationinfo.h>
+#include <optional>
+#include <sstream>
+
+namespace bluebell::platform {
+namespace {
+
+using base::error_code;
+
+constexpr const char* connect_failure_text = "while trying to connect";
+
+cxxtools::Milliseconds to_milliseconds(base::duration time) {
+    return cxxtools::Milliseconds(std::chrono::duration<double, std::milli>(time).count());
+}
+
+/// Percent-encodes everything but unreserved characters and `/`.
+std::string encode_path(const std::string& text) {
+    constexpr const char* digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char c : text) {
+        const unsigned char byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~' || c == '/') {
+            encoded += c;
+        } else {
+            encoded += {'%', digits[byte >> 4U], digits[byte & 15U]};
+        }
+    }
+    return encoded;
+}
+
+std::string object_path(const base::object_name& name) {
+    return "/objects/" + encode_path(name.value());
+}
+
+std::string etag(base::object_version version) {
+    return '"' + std::to_string(version.value()) + '"';
+}
+
+base::object_version parse_etag(const char* header) {
+    std::uint64_t version = 0;
+    if (header != nullptr && *header == '"') {
+        const std::string text(header + 1);
+        std::from_chars(text.data(), text.data() + text.size(), version);
+    }
+    return base::object_version(version);
+}
+
+/// The failure that a status other than 200 stands for, with `code` for those of 500 and above.
+tl::unexpected<base::error> status_failure(unsigned status, const std::string& place, error_code code) {
+    const std::string text = "the object store answered with status " + std::to_string(status);
+    switch (status) {
+    case 404:
+        return base::failure(error_code::store_not_found, place, "the object does not exist");
+    case 412:
+        return base::failure(error_code::store_conflict, place, "the object has another version");
+    case 413:
+        return base::failure(error_code::value_too_large, place, "the value exceeds the limit of the store");
+    case 429:
+        return base::failure(error_code::store_rate_limited, place, "the call rate of the store is exceeded");
+    default:
+        return base::failure(status >= 500 ? code : error_code::store_malformed, place, text);
+    }
+}
+
+/// Status of a call with an effect. A status of 500 and above may come from a gateway after the effect.
+base::result<http_answer> check_change(base::result<http_answer> answer, const std::string& place) {
+    if (answer && answer->status != 200) {
+        return status_failure(answer->status, place, error_code::store_answer_lost);
+    }
+    return answer;
+}
+
+base::result<http_answer> check_read(base::result<http_answer> answer, const std::string& place) {
+    if (answer && answer->status != 200) {
+        return status_failure(answer->status, place, error_code::store_unavailable);
+    }
+    return answer;
+}
+
+cxxtools::SerializationInfo parse_json(const std::string& json) {
+    cxxtools::SerializationInfo si;
+    std::istringstream in(json);
+    in >> cxxtools::Json(si);
+    return si;
+}
+
+/// Pre-condition: called with a JSON object. Throws if a member is missing.
+std::optional<decision::vm_entry> read_vm(const cxxtools::SerializationInfo& si) {
+    std::string vm;
+    std::string data_centre;
+    std::string control;
+    std::string admin;
+    decision::vm_entry entry;
+    si.getMember("vm") >>= vm;
+    si.getMember("data_centre") >>= data_centre;
+    si.getMember("control") >>= control;
+    si.getMember("admin") >>= admin;
+    si.getMember("leaving", entry.leaving);
+    const std::optional<decision::endpoint> control_address = decision::parse_endpoint(control);
+    const std::optional<decision::endpoint> admin_address = decision::parse_endpoint(admin);
+    if (vm.empty() || !control_address || !admin_address) {
+        return std::nullopt;
+    }
+    entry.vm = base::vm_id(vm);
+    entry.data_centre = base::data_centre_id(data_centre);
+    entry.control = *control_address;
+    entry.admin = *admin_address;
+    return entry;
+}
+
+} // namespace
+
+http_connection::http_connection(decision::endpoint server, call_limits limits)
+    : server_(std::move(server)), limits_(limits), client_(server_.address, server_.port) {}
+
+void http_connection::reset() {
+    // `close` alone keeps the error state of the stream, and the next call would fail too.
+    client_ = cxxtools::http::Client(server_.address, server_.port);
+}
+
+http_answer http_connection::execute(const cxxtools::http::Request& request, base::duration limit) {
+    client_.execute(request, to_milliseconds(limit), to_milliseconds(limits_.connect));
+    client_.readBody();
+    return {client_.header().httpReturnCode(), client_.body(), parse_etag(client_.reply().getHeader("ETag"))};
+}
+
+base::result<http_answer> http_connection::fetch(const std::string& path, const std::string& query,
+                                                 base::duration extra_wait) {
+    try {
+        cxxtools::http::Request request(path);
+        request.qparams(query);
+        return execute(request, limits_.answer + extra_wait);
+    } catch (const std::exception& caught) {
+        reset();
+        return base::failure(error_code::store_unavailable, to_string(server_) + path, caught.what());
+    }
+}
+
+base::result<http_answer> http_connection::change(cxxtools::http::Request& request) {
+    // cxxtools sends a request again when a kept connection breaks before the answer. A conditional update
+    // whose answer was lost would then look like a conflict with somebody else, so each call with an effect
+    // gets a new connection.
+    reset();
+    const std::string place = to_string(server_) + request.url();
+    try {
+        return execute(request, limits_.answer);
+    } catch (const cxxtools::IOTimeout& caught) {
+        // Thrown for the time limit of the connect only; that of the answer is a plain `IOError`.
+        reset();
+        return base::failure(error_code::store_unavailable, place, "connect timed out");
+    } catch (const std::exception& caught) {
+        reset();
+        const std::string text = caught.what();
+        const bool unconnected = text.rfind(connect_failure_text, 0) == 0;
+        return base::failure(unconnected ? error_code::store_unavailable : error_code::store_answer_lost,
+                             place, text);
+    }
+}
+
+http_object_store::http_object_store(const decision::endpoint& server, call_limits limits)
+    : connection_(server, limits) {}
+
+base::result<stored_object> http_object_store::read_object(const base::object_name& name,
+                                                           const std::string& query,
+                                                           base::duration extra_wait) {
+    const base::result<http_answer> answer =
+        check_read(connection_.fetch(object_path(name), query, extra_wait), name.value());
+    if (!answer) {
+        return tl::unexpected<base::error>(answer.error());
+    }
+    if (answer->version == base::object_version(0)) {
+        return base::failure(error_code::store_malformed, name.value(), "the answer has no version");
+    }
+    return stored_object{answer->body, answer->version};
+}
+
+base::result<stored_object> http_object_store::read(const base::object_name& name) {
+    return read_object(name, "", base::duration::zero());
+}
+
+base::result<stored_object> http_object_store::watch(const base::object_name& name,
+                                                     base::object_version known, base::duration timeout) {
+    const long long timeout_ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+    return read_object(name,
+                       "watch=" + std::to_string(known.value()) + "&timeout_ms=" + std::to_string(timeout_ms),
+                       timeout);
+}
+
+base::result<base::object_version> http_object_store::update(const base::object_name& name,
+                                                             const std::string& value,
+                                                             base::object_version expected) {
+    cxxtools::http::Request request(object_path(name));
+    request.method("PUT");
+    if (expected == base::object_version(0)) {
+        request.setHeader("If-None-Match", "*");
+    } else {
+        request.setHeader("If-Match", etag(expected).c_str());
+    }
+    request.body() << value;
+    const base::result<http_answer> answer = check_change(connection_.change(request), name.value());
+    if (!answer) {
+        return tl::unexpected<base::error>(answer.error());
+    }
+    if (answer->version == base::object_version(0)) {
+        return base::failure(error_code::store_answer_lost, name.value(), "the answer has no version");
+    }
+    return answer->version;
+}
+
+base::result<void> http_object_store::remove(const base::object_name& name, base::object_version expected) {
+    cxxtools::http::Request request(object_path(name));
+    request.method("DELETE");
+    request.setHeader("If-Match", etag(expected).c_str());
+    const base::result<http_answer> answer = check_change(connection_.change(request), name.value());
+    if (!answer) {
+        return tl::unexpected<base::error>(answer.error());
+    }
+    return {};
+}
+
+base::result<std::vector<base::object_name>> http_object_store::list(const std::string& prefix) {
+    const base::result<http_answer> answer =
+        check_read(connection_.fetch("/objects", "prefix=" + encode_path(prefix)), prefix);
+    if (!answer) {
+        return tl::unexpected<base::error>(answer.error());
+    }
+    try {
+        std::vector<std::string> texts;
+        parse_json(answer->body).getMember("names") >>= texts;
+        std::vector<base::object_name> names;
+        for (const std::string& text : texts) {
+            names.emplace_back(text);
+        }
+        return names;
+    } catch (const std::exception& caught) {
+        return base::failure(error_code::store_malformed, prefix, caught.what());
+    }
+}
+
+http_vm_list::http_vm_list(const decision::endpoint& server, call_limits limits)
+    : connection_(server, limits) {}
+
+base::result<std::vector<decision::vm_entry>> http_vm_list::read() {
+    const base::result<http_answer> answer = check_read(connection_.fetch("/vms", ""), "/vms");
+    if (!answer) {
+        return tl::unexpected<base::error>(answer.error());
+    }
+    return decode_vms(answer->body);
+}
+
+std::string encode_vms(const std::vector<decision::vm_entry>& vms) {
+    cxxtools::SerializationInfo si;
+    cxxtools::SerializationInfo& list = si.addMember("vms");
+    list.setCategory(cxxtools::SerializationInfo::Array);
+    for (const decision::vm_entry& vm : vms) {
+        cxxtools::SerializationInfo& entry = list.addMember();
+        entry.addValue("vm", vm.vm.value());
+        entry.addValue("data_centre", vm.data_centre.value());
+        entry.addValue("control", to_string(vm.control));
+        entry.addValue("admin", to_string(vm.admin));
+        entry.addValue("leaving", vm.leaving);
+    }
+    std::ostringstream out;
+    out << cxxtools::Json(si);
+    return out.str();
+}
+
+base::result<std::vector<decision::vm_entry>> decode_vms(const std::string& json) {
+    try {
+        const cxxtools::SerializationInfo si = parse_json(json);
+        std::vector<decision::vm_entry> vms;
+        for (const cxxtools::SerializationInfo& member : si.getMember("vms")) {
+            std::optional<decision::vm_entry> entry = read_vm(member);
+            if (!entry) {
+                return base::failure(error_code::store_malformed, "/vms",
+                                     "entry " + std::to_string(vms.size()) + " has a bad name or address");
+            }
+            vms.push_back(std::move(*entry));
+        }
+        return vms;
+    } catch (const std::exception& caught) {
+        return base::failure(error_code::store_malformed, "/vms", caught.what());
+    }
+}
+
+} // namespace bluebell::platform
