--- /dev/null
+++ b/src/decision/retry.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "decision/message.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace bluebell::decision {
+
+struct retry_settings {
+    /// Retries per first attempt.
+    double ratio = 0.1;
+    /// Retries a second that are always allowed, so that a quiet pool can retry at all.
+    double minimum_per_s = 1.0;
+    /// Retries that can be saved up.
+    double burst = 10.0;
+};
+
+/// Limits the retries of each pool to a share of its first attempts, so that a failing pool is not loaded
+/// further by retries. Thread safety: used by one thread.
+class retry_budget {
+public:
+    explicit retry_budget(retry_settings settings) : settings_(settings) {}
+
+    void first_attempt(const base::pool_id& pool, base::time_point now);
+    /// Takes one retry from the budget; false if none is left.
+    [[nodiscard]] bool take(const base::pool_id& pool, base::time_point now);
+
+private:
+    struct bucket {
+        double tokens = 0;
+        base::time_point filled;
+    };
+    bucket& refill(const base::pool_id& pool, base::time_point now);
+
+    retry_settings settings_;
+    std::map<base::pool_id, bucket> buckets_;
+};
+
+struct crash_settings {
+    /// Distinct upstreams that must have failed while they ran a request before it is blocked.
+    std::size_t distinct_upstreams = 2;
+    /// How long reports count, and how long a block lasts.
+    base::duration memory = std::chrono::minutes(10);
+    /// Fingerprints remembered; the oldest is dropped first.
+    std::size_t capacity = 4096;
+};
+
+/// Recognises requests that crash one upstream after another, by the fingerprint of their body. Reports of
+/// peers count as well, so that a caller that repeats the request at another router is recognised.
+/// Thread safety: used by one thread.
+class crash_table {
+public:
+    explicit crash_table(crash_settings settings) : settings_(settings) {}
+
+    /// Takes a report. Returns true if it was not known yet, so that it is to be passed on to peers.
+    bool report(const crash_report& what, base::time_point now);
+    [[nodiscard]] bool blocked(const base::fingerprint& body, base::time_point now) const;
+    /// Reports of a fingerprint that still count, for a peer that is about to run it.
+    [[nodiscard]] std::vector<crash_report> reports(const base::fingerprint& body,
+                                                    base::time_point now) const;
+    void tick(base::time_point now);
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
+
+private:
+    struct entry {
+        std::map<base::upstream_id, base::time_point> crashes;
+    };
+    [[nodiscard]] bool counts(base::time_point reported, base::time_point now) const {
+        return now - reported < settings_.memory;
+    }
+
+    crash_settings settings_;
+    std::unordered_map<base::fingerprint, entry> entries_;
+    std::deque<base::fingerprint> order_;
+};
+
+} // namespace bluebell::decision
