Add the data path from callers to upstreams, with stand-ins

Cause: the daemon needs one path from end to end: HTTP front end, ring to the decider, ring to the transport, upstream, and the answer back.

Change: edge::callers serves callers with the HTTP server of cxxtools and hands each request to the decider through a ring; upstream::transport runs all calls in one selector; standin-engine and standin-service play the upstreams. The transport uses TcpSocket and Selector of cxxtools with its own reading of answers (upstream/wire). The own reader also tells exactly whether a byte was sent.

Shared types: ring::on_push wakes a consumer that waits on a selector; exchange::begin_attempt lets a front end that has answered its caller stop an attempt before it is sent, so that `not_run` is the truth; attempt_end::delivered counts the bytes of that attempt only.

--- a/src/base/ring.h
+++ b/src/base/ring.h
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <cstddef>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -60,6 +61,14 @@
         return push_result::pushed;
     }
 
+    /// Has `wake` called after each push, for a consumer that waits on a selector instead of `pop`. An empty
+    /// function removes it. `wake` runs under the lock of the ring, so that it is not in use after its
+    /// removal; it must not block or call the ring.
+    void on_push(std::function<void()> wake) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        wake_ = std::move(wake);
+    }
+
     /// Takes the oldest value, waiting up to `timeout`. Empty on timeout, or when closed and drained.
     std::optional<T> pop(duration timeout) {
         std::optional<T> taken;
@@ -113,6 +122,9 @@
     void put(T&& value) {
         slots_[(head_ + size_) % slots_.size()].emplace(std::move(value));
         ++size_;
+        if (wake_) {
+            wake_();
+        }
     }
 
     mutable std::mutex mutex_;
@@ -122,6 +134,7 @@
     std::size_t head_ = 0;
     std::size_t size_ = 0;
     bool closed_ = false;
+    std::function<void()> wake_;
 };
 
 } // namespace bluebell::base
--- a/src/decision/exchange.h
+++ b/src/decision/exchange.h
@@ -30,9 +30,9 @@
 
 /// One request of a caller and the way its answer goes back. The front end implements it; the upstream
 /// transport delivers the answer; the decider ends it.
-/// Thread safety: `request_content` may be called by any thread; the transport's thread calls `begin` and
-/// `deliver`; the decider's thread calls `finish`. Implementations hand over to the caller's thread through a
-/// bounded ring and do not block.
+/// Thread safety: `request_content` may be called by any thread; the transport's thread calls
+/// `begin_attempt`, `begin` and `deliver`; the decider's thread calls `finish`. Implementations hand over to
+/// the caller's thread through a bounded ring and do not block.
 class exchange {
 public:
     exchange() = default;
@@ -44,6 +44,9 @@
 
     /// Does not change after construction.
     [[nodiscard]] virtual const content& request_content() const = 0;
+    /// Called before each attempt puts anything on a connection. Returns false if the front end has already
+    /// answered the caller; the attempt must then not be sent.
+    [[nodiscard]] virtual bool begin_attempt() { return true; }
     /// Passes status and fields on. Called once per request, before the first `deliver`.
     virtual void begin(const answer_head& head) = 0;
     /// Passes a part of the answer on. Returns false if the caller is gone or does not read fast enough; the
--- a/src/decision/request.h
+++ b/src/decision/request.h
@@ -51,7 +51,7 @@
     attempt_status status = attempt_status::completed;
     /// Measured cost of the attempt so far.
     base::cost spent;
-    /// Bytes of the answer passed on to the caller.
+    /// Bytes of the answer that this attempt passed on to the caller.
     base::byte_count delivered;
     std::optional<base::error> cause;
 };
--- /dev/null
+++ b/src/edge/answer.cpp
@@ -0,0 +1,67 @@
+#include "edge/answer.h"
+
+#include "base/log.h"
+
+namespace bluebell::edge {
+namespace {
+
+std::string error_object(const base::error& cause, decision::outcome result, const base::request_id& id) {
+    return "{\"code\":" + base::json_quote(base::to_string(cause.code)) +
+           ",\"message\":" + base::json_quote(cause.text) + ",\"field\":" + base::json_quote(cause.place) +
+           ",\"outcome\":" + base::json_quote(decision::to_string(result)) +
+           ",\"request_id\":" + base::json_quote(base::to_hex(id.value())) + '}';
+}
+
+} // namespace
+
+int status_of(base::error_code code) {
+    using base::error_code;
+    switch (code) {
+    case error_code::malformed_request:
+    case error_code::missing_field:
+        return 400;
+    case error_code::unknown_client_account:
+        return 401;
+    case error_code::unknown_pool:
+        return 404;
+    case error_code::key_in_progress:
+    case error_code::key_already_ran:
+        return 409;
+    case error_code::body_too_large:
+        return 413;
+    case error_code::invalid_field:
+    case error_code::idempotency_key_required:
+    case error_code::poison_request:
+        return 422;
+    case error_code::queue_full:
+        return 429;
+    case error_code::upstream_refused_connection:
+    case error_code::upstream_closed_connection:
+    case error_code::upstream_malformed_answer:
+    case error_code::upstream_error_status:
+        return 502;
+    case error_code::deadline_exceeded:
+    case error_code::upstream_silent:
+        return 504;
+    default:
+        // What remains is for the moment: draining, not ready, isolated, no upstream, store unavailable, no
+        // retry left.
+        return 503;
+    }
+}
+
+std::string error_body(const base::error& cause, decision::outcome result, const base::request_id& id) {
+    return "{\"error\":" + error_object(cause, result, id) + '}';
+}
+
+std::string outcome_record(const decision::verdict& last, const base::request_id& id) {
+    std::string text =
+        "event: outcome\ndata: {\"outcome\":" + base::json_quote(decision::to_string(last.result)) +
+        ",\"request_id\":" + base::json_quote(base::to_hex(id.value()));
+    if (last.cause) {
+        text += ",\"error\":" + error_object(*last.cause, last.result, id);
+    }
+    return text + "}\n\n";
+}
+
+} // namespace bluebell::edge
--- /dev/null
+++ b/src/edge/host.cpp
@@ -0,0 +1,51 @@
+#include "edge/host.h"
+
+#include "base/guard.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cxxtools/regex.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bluebell::edge {
+namespace {
+
+/// Threads that wait for work when the server is idle.
+constexpr unsigned idle_threads = 4;
+
+cxxtools::Milliseconds to_milliseconds(base::duration time) {
+    return cxxtools::Milliseconds(std::chrono::duration<double, std::milli>(time).count());
+}
+
+} // namespace
+
+host::host(const host_options& options, cxxtools::http::Service& service) : server_(loop_) {
+    server_.minThreads(std::min(idle_threads, options.threads));
+    server_.maxThreads(options.threads);
+    server_.readTimeout(to_milliseconds(options.read_timeout));
+    server_.writeTimeout(to_milliseconds(options.write_timeout));
+    server_.keepAliveTimeout(to_milliseconds(options.keep_alive));
+    server_.addService(cxxtools::Regex(".*"), service);
+    server_.listen(options.address.address, options.address.port);
+}
+
+std::uint16_t free_port() {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (socket < 0) {
+        return 0;
+    }
+    const base::scope_guard closer([socket] { ::close(socket); });
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    sockaddr* const generic = reinterpret_cast<sockaddr*>(&address);
+    if (::bind(socket, generic, size) != 0 || ::getsockname(socket, generic, &size) != 0) {
+        return 0;
+    }
+    return ntohs(address.sin_port);
+}
+
+} // namespace bluebell::edge
--- /dev/null
+++ b/standin/engine.cpp
@@ -0,0 +1,49 @@
+#include "standin/model.h"
+
+#include <csignal>
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace {
+
+const char* const usage = R"(Stand-in for a model engine.
+
+Usage:
+  standin-engine [--address=IP] [--port=N] [--slots=N] [--waiting=N] [--tokens=N] [--token-ms=N] [--lag-ms=N]
+                 [--ignore-fence]
+
+Options:
+  --address=IP     Address to listen on [default: 127.0.0.1].
+  --port=N         Port; 0 picks a free one [default: 0].
+  --slots=N        Requests that run at the same time [default: 8].
+  --waiting=N      Requests that wait for a slot [default: 64].
+  --tokens=N       Tokens of an answer without max_tokens [default: 20].
+  --token-ms=N     Time per token [default: 10].
+  --lag-ms=N       How far the load report is behind [default: 0].
+  --ignore-fence   Accept orders with an old fencing token.
+)";
+
+} // namespace
+
+int main(int argc, char** argv) {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::map<std::string, docopt::value> args = docopt::docopt(usage, {argv + 1, argv + argc});
+    bluebell::standin::engine_options options;
+    options.address = {args["--address"].asString(), static_cast<std::uint16_t>(args["--port"].asLong())};
+    options.slots = static_cast<unsigned>(args["--slots"].asLong());
+    options.waiting = static_cast<unsigned>(args["--waiting"].asLong());
+    options.tokens = static_cast<std::uint64_t>(args["--tokens"].asLong());
+    options.token_time = std::chrono::milliseconds(args["--token-ms"].asLong());
+    options.load_lag = std::chrono::milliseconds(args["--lag-ms"].asLong());
+    options.checks_fence = !args["--ignore-fence"].asBool();
+    bluebell::standin::engine engine(options);
+    engine.start();
+    std::cout << "listening " << engine.address().port << std::endl;
+    int received = 0;
+    sigwait(&signals, &received);
+    return 0;
+}
