--- a/src/edge/stream.cpp
+++ b/src/edge/stream.cpp
@@ -74,10 +74,10 @@
         return "Unauthorized";
     case 404:
         return "Not Found";
-    case 405:
-        return "Method Not Allowed";
     case 409:
         return "Conflict";
+    case 405:
+        return "Method Not Allowed";
     case 413:
         return "Content Too Large";
     case 422:
