--- a/src/decision/command.h
+++ b/src/decision/command.h
@@ -3,6 +3,7 @@
 #include "decision/event.h"
 
 #include <memory>
+#include <string>
 #include <variant>
 
 namespace bluebell::decision {
@@ -56,6 +57,18 @@
     std::optional<endpoint> peer;
 };
 
+/// Whether this router is one of those that hold a watch on the release head.
+struct watch_release {
+    bool enabled = false;
+};
+
+/// Asks for the release in force in the form of `GET /config`; the reply is empty if there is none yet.
+struct config_requested {
+    std::shared_ptr<base::ring<std::string>> reply;
+};
+
+using release_command = std::variant<fetch_release, watch_release, config_requested>;
+
 /// Which upstreams the load poller asks.
 struct watch_load {
     std::vector<upstream> upstreams;
--- a/src/decision/config.h
+++ b/src/decision/config.h
@@ -57,6 +57,8 @@
     endpoint address;
     base::slot_count slots{1};
     upstream_state state = upstream_state::active;
+    /// Revision that marked the upstream as departing; zero while it is active.
+    base::revision departing_since;
     /// The upstream refuses an order with an old fencing token.
     bool checks_fence = true;
     /// The upstream can continue a broken stream from an offset.
