Add encoding and publishing of releases

Cause: an accepted change must be durable, read by every router at little cost, and applied exactly once although operators race and answers get lost.

Change: platform/config with the head (revision, chunk names, last 32 changes), 64 content-addressed chunks of accounts and one of pools and upstreams, load_image that reads only the chunks that changed and checks their digests, render_config and parse_config for GET /config of a peer, and publisher: read, validate, write chunks, replace the head conditionally, resolve conflicts and lost answers by looking for its own change id. A departing upstream is only removed after every listed router acknowledged.

Chunk names carry the revision that they were written for. Chunks that the head does not name are removed 64 revisions later; a publisher that is further behind can no longer replace the head. Fractions are written as text, because the JSON formatter of cxxtools cuts them after 14 digits.

--- /dev/null
+++ b/src/platform/config.cpp
@@ -0,0 +1,671 @@
+#include "platform/config.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cxxtools/json.h>
+#include <cxxtools/serializationinfo.h>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace bluebell::platform {
+namespace {
+
+using base::error;
+using base::error_code;
+using cxxtools::SerializationInfo;
+using decision::fleet_config;
+
+constexpr int encoding_format = 1;
+constexpr const char* chunk_prefix = "release/chunk/";
+
+/// A text that does not have the expected form; turned into `store_malformed` at the interface.
+class malformed : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+std::string to_json(const SerializationInfo& si) {
+    std::ostringstream out;
+    out << cxxtools::Json(si);
+    return out.str();
+}
+
+SerializationInfo from_json(const std::string& text) {
+    SerializationInfo si;
+    std::istringstream in(text);
+    in >> cxxtools::Json(si);
+    int format = 0;
+    si.getMember("format") >>= format;
+    if (format != encoding_format) {
+        throw malformed("format " + std::to_string(format) + " is not supported");
+    }
+    return si;
+}
+
+/// Numbers with fraction are written as shortest decimal text, since the JSON formatter of the library cuts
+/// them after 14 digits.
+std::string number_text(double value) {
+    std::array<char, 32> text{};
+    const std::to_chars_result written = std::to_chars(text.data(), text.data() + text.size(), value);
+    return {text.data(), written.ptr};
+}
+
+template <typename Number>
+Number parse_number(const std::string& text) {
+    Number value{};
+    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        throw malformed("\"" + text + "\" is not a number");
+    }
+    return value;
+}
+
+template <typename T>
+T member(const SerializationInfo& si, const char* name) {
+    T value{};
+    si.getMember(name) >>= value;
+    return value;
+}
+
+base::wide digest_of(const std::string& text) {
+    return base::stable_hash_wide({text});
+}
+
+std::string optional_text(const std::optional<chunk_ref>& ref) {
+    return ref ? to_string(*ref) : std::string();
+}
+
+std::optional<chunk_ref> parse_ref(const std::string& text) {
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t dash = text.find('-');
+    chunk_ref ref;
+    if (dash == std::string::npos || !base::from_hex(text.substr(dash + 1), ref.digest)) {
+        throw malformed("\"" + text + "\" is not a chunk name");
+    }
+    ref.written = base::revision(parse_number<std::uint64_t>(text.substr(0, dash)));
+    return ref;
+}
+
+std::size_t chunk_of(const base::client_account_id& id) {
+    return base::stable_hash(id.value()) % account_chunks;
+}
+
+/// Texts of the account chunks; empty for chunks without accounts.
+std::array<std::string, account_chunks> encode_accounts(const fleet_config& config) {
+    std::array<SerializationInfo, account_chunks> chunks;
+    std::array<std::string, account_chunks> texts;
+    for (const auto& entry : config.accounts) {
+        SerializationInfo& chunk = chunks.at(chunk_of(entry.first));
+        if (chunk.memberCount() == 0) {
+            chunk.addValue("format", encoding_format);
+            chunk.addMember("accounts").setCategory(SerializationInfo::Object);
+        }
+        chunk.getMember("accounts").addValue(entry.first.value(), number_text(entry.second.share.value()));
+    }
+    for (std::size_t i = 0; i < account_chunks; ++i) {
+        if (chunks.at(i).memberCount() != 0) {
+            texts.at(i) = to_json(chunks.at(i));
+        }
+    }
+    return texts;
+}
+
+void decode_accounts(const std::string& text, fleet_config& config) {
+    const SerializationInfo si = from_json(text);
+    for (const SerializationInfo& item : si.getMember("accounts")) {
+        std::string share;
+        item >>= share;
+        const base::client_account_id id(item.name());
+        config.accounts[id] = decision::client_account{id, base::weight(parse_number<double>(share))};
+    }
+}
+
+void encode_upstream(const decision::upstream& upstream, SerializationInfo& item) {
+    item.addValue("id", upstream.id.value());
+    item.addValue("pool", upstream.pool.value());
+    item.addValue("data_centre", upstream.data_centre.value());
+    item.addValue("address", to_string(upstream.address));
+    item.addValue("slots", upstream.slots.value());
+    item.addValue("departing_since", upstream.departing_since.value());
+    item.addValue("checks_fence", upstream.checks_fence);
+    item.addValue("can_resume", upstream.can_resume);
+}
+
+decision::upstream decode_upstream(const SerializationInfo& item) {
+    decision::upstream upstream;
+    upstream.id = base::upstream_id(member<std::string>(item, "id"));
+    upstream.pool = base::pool_id(member<std::string>(item, "pool"));
+    upstream.data_centre = base::data_centre_id(member<std::string>(item, "data_centre"));
+    const std::optional<decision::endpoint> address =
+        decision::parse_endpoint(member<std::string>(item, "address"));
+    if (!address) {
+        throw malformed("upstream " + upstream.id.value() + " has a bad address");
+    }
+    upstream.address = *address;
+    upstream.slots = base::slot_count(member<std::int32_t>(item, "slots"));
+    upstream.departing_since = base::revision(member<std::uint64_t>(item, "departing_since"));
+    upstream.state = upstream.departing_since == base::revision(0) ? decision::upstream_state::active
+                                                                   : decision::upstream_state::departing;
+    upstream.checks_fence = member<bool>(item, "checks_fence");
+    upstream.can_resume = member<bool>(item, "can_resume");
+    return upstream;
+}
+
+/// Empty if there is neither a pool nor an upstream.
+std::string encode_fleet(const fleet_config& config) {
+    if (config.pools.empty() && config.upstreams.empty()) {
+        return "";
+    }
+    SerializationInfo si;
+    si.addValue("format", encoding_format);
+    SerializationInfo& pools = si.addMember("pools");
+    pools.setCategory(SerializationInfo::Array);
+    for (const auto& entry : config.pools) {
+        SerializationInfo& item = pools.addMember();
+        item.addValue("id", entry.second.id.value());
+        item.addValue("kind", entry.second.kind == decision::pool_kind::model ? "model" : "service");
+        item.addValue("default_cost", number_text(entry.second.default_cost.value()));
+    }
+    SerializationInfo& upstreams = si.addMember("upstreams");
+    upstreams.setCategory(SerializationInfo::Array);
+    for (const auto& entry : config.upstreams) {
+        encode_upstream(entry.second, upstreams.addMember());
+    }
+    return to_json(si);
+}
+
+void decode_fleet(const std::string& text, fleet_config& config) {
+    const SerializationInfo si = from_json(text);
+    for (const SerializationInfo& item : si.getMember("pools")) {
+        decision::pool pool;
+        pool.id = base::pool_id(member<std::string>(item, "id"));
+        const std::string kind = member<std::string>(item, "kind");
+        if (kind != "model" && kind != "service") {
+            throw malformed("pool " + pool.id.value() + " has the unknown kind " + kind);
+        }
+        pool.kind = kind == "model" ? decision::pool_kind::model : decision::pool_kind::service;
+        pool.default_cost = base::cost(parse_number<double>(member<std::string>(item, "default_cost")));
+        config.pools[pool.id] = pool;
+    }
+    for (const SerializationInfo& item : si.getMember("upstreams")) {
+        decision::upstream upstream = decode_upstream(item);
+        config.upstreams[upstream.id] = std::move(upstream);
+    }
+}
+
+/// Loads one image chunk by chunk, taking over from the former image what did not change.
+class image_loader {
+public:
+    image_loader(release_head head, const config_image* former, chunk_source& source)
+        : former_(former), source_(source) {
+        image_.head = std::move(head);
+        if (former_ != nullptr) {
+            config_ = *former_->config;
+        }
+        config_.rev = image_.head.rev;
+    }
+
+    /// Throws `malformed`.
+    base::result<std::shared_ptr<const config_image>> run(const std::string& head_text) {
+        base::result<void> loaded = load_fleet();
+        for (std::size_t i = 0; loaded && i < account_chunks; ++i) {
+            loaded = load_accounts(i);
+        }
+        if (!loaded) {
+            return tl::unexpected<error>(loaded.error());
+        }
+        image_.head_text = head_text;
+        image_.config = std::make_shared<const fleet_config>(std::move(config_));
+        return std::make_shared<const config_image>(std::move(image_));
+    }
+
+private:
+    /// Text of the chunk; empty if there is none.
+    base::result<std::shared_ptr<const std::string>> fetch(const std::optional<chunk_ref>& ref) {
+        if (!ref) {
+            return std::make_shared<const std::string>();
+        }
+        const std::string name = to_string(*ref);
+        if (former_ != nullptr && former_->chunks.count(name) != 0) {
+            return image_.chunks[name] = former_->chunks.at(name);
+        }
+        base::result<std::string> text = source_.read(*ref);
+        if (!text) {
+            return tl::unexpected<error>(text.error());
+        }
+        if (!(digest_of(*text) == ref->digest)) {
+            return base::failure(error_code::release_digest_mismatch, chunk_name(*ref).value(),
+                                 "the content does not have the digest that the head names");
+        }
+        return image_.chunks[name] = std::make_shared<const std::string>(std::move(*text));
+    }
+
+    base::result<void> load_fleet() {
+        const base::result<std::shared_ptr<const std::string>> text = fetch(image_.head.fleet);
+        if (!text) {
+            return tl::unexpected<error>(text.error());
+        }
+        if (former_ != nullptr && former_->head.fleet == image_.head.fleet) {
+            return {};
+        }
+        config_.pools.clear();
+        config_.upstreams.clear();
+        if (!(*text)->empty()) {
+            decode_fleet(**text, config_);
+        }
+        return {};
+    }
+
+    base::result<void> load_accounts(std::size_t index) {
+        const std::optional<chunk_ref>& ref = image_.head.accounts.at(index);
+        const base::result<std::shared_ptr<const std::string>> text = fetch(ref);
+        if (!text) {
+            return tl::unexpected<error>(text.error());
+        }
+        if (former_ != nullptr) {
+            const std::optional<chunk_ref>& before = former_->head.accounts.at(index);
+            if (before == ref) {
+                return {};
+            }
+            remove_accounts(before);
+        }
+        if (!(*text)->empty()) {
+            decode_accounts(**text, config_);
+        }
+        return {};
+    }
+
+    /// Removes the accounts of a chunk that was replaced.
+    void remove_accounts(const std::optional<chunk_ref>& ref) {
+        if (!ref) {
+            return;
+        }
+        fleet_config outdated;
+        decode_accounts(*former_->chunks.at(to_string(*ref)), outdated);
+        for (const auto& entry : outdated.accounts) {
+            config_.accounts.erase(entry.first);
+        }
+    }
+
+    const config_image* former_;
+    chunk_source& source_;
+    config_image image_;
+    fleet_config config_;
+};
+
+/// Chunks that came along with the head.
+class bundled_chunks final : public chunk_source {
+public:
+    explicit bundled_chunks(const SerializationInfo& chunks) : chunks_(chunks) {}
+
+    base::result<std::string> read(const chunk_ref& ref) override {
+        const SerializationInfo* found = chunks_.findMember(to_string(ref));
+        if (found == nullptr) {
+            return base::failure(error_code::store_malformed, "/config",
+                                 "chunk is missing: " + to_string(ref));
+        }
+        std::string text;
+        *found >>= text;
+        return text;
+    }
+
+private:
+    const SerializationInfo& chunks_;
+};
+
+std::set<std::string> used_chunks(const release_head& head) {
+    std::set<std::string> used{optional_text(head.fleet)};
+    for (const std::optional<chunk_ref>& ref : head.accounts) {
+        used.insert(optional_text(ref));
+    }
+    return used;
+}
+
+/// Whether the chunk was written more than `chunk_retention` revisions ago. False for foreign names.
+bool is_expired(const std::string& name, base::revision current) {
+    try {
+        const std::optional<chunk_ref> ref = parse_ref(name);
+        return ref && ref->written + base::revision(chunk_retention) < current;
+    } catch (const malformed&) {
+        return false;
+    }
+}
+
+std::vector<error> single(error fault) {
+    return {std::move(fault)};
+}
+
+} // namespace
+
+std::string to_string(const chunk_ref& ref) {
+    return std::to_string(ref.written.value()) + '-' + base::to_hex(ref.digest);
+}
+
+base::object_name head_name() {
+    return base::object_name("release/head");
+}
+
+base::object_name chunk_name(const chunk_ref& ref) {
+    return base::object_name(chunk_prefix + to_string(ref));
+}
+
+std::string encode_head(const release_head& head) {
+    SerializationInfo si;
+    si.addValue("format", encoding_format);
+    si.addValue("revision", head.rev.value());
+    si.addValue("fleet", optional_text(head.fleet));
+    SerializationInfo& accounts = si.addMember("accounts");
+    accounts.setCategory(SerializationInfo::Array);
+    for (const std::optional<chunk_ref>& ref : head.accounts) {
+        accounts.addMember().setValue(optional_text(ref));
+    }
+    SerializationInfo& changes = si.addMember("changes");
+    changes.setCategory(SerializationInfo::Array);
+    for (const decision::release_change& change : head.changes) {
+        SerializationInfo& item = changes.addMember();
+        item.addValue("revision", change.rev.value());
+        item.addValue("operator", change.author.value());
+        item.addValue("change", change.change.value());
+        item.addValue("title", change.title);
+    }
+    return to_json(si);
+}
+
+base::result<release_head> decode_head(const std::string& text) {
+    try {
+        const SerializationInfo si = from_json(text);
+        release_head head;
+        head.rev = base::revision(member<std::uint64_t>(si, "revision"));
+        head.fleet = parse_ref(member<std::string>(si, "fleet"));
+        const std::vector<std::string> accounts = member<std::vector<std::string>>(si, "accounts");
+        if (accounts.size() != account_chunks) {
+            throw malformed("wrong number of account chunks");
+        }
+        std::transform(accounts.begin(), accounts.end(), head.accounts.begin(), parse_ref);
+        for (const SerializationInfo& item : si.getMember("changes")) {
+            head.changes.push_back({base::revision(member<std::uint64_t>(item, "revision")),
+                                    base::operator_id(member<std::string>(item, "operator")),
+                                    base::change_id(member<std::string>(item, "change")),
+                                    member<std::string>(item, "title")});
+        }
+        return head;
+    } catch (const std::exception& caught) {
+        return base::failure(error_code::store_malformed, head_name().value(), caught.what());
+    }
+}
+
+base::result<std::string> store_chunks::read(const chunk_ref& ref) {
+    return store_.read(chunk_name(ref)).map([](stored_object object) { return std::move(object.value); });
+}
+
+base::result<std::shared_ptr<const config_image>>
+load_image(const std::string& head_text, const config_image* former, chunk_source& source) {
+    base::result<release_head> head = decode_head(head_text);
+    if (!head) {
+        return tl::unexpected<error>(head.error());
+    }
+    try {
+        return image_loader(std::move(*head), former, source).run(head_text);
+    } catch (const std::exception& caught) {
+        return base::failure(error_code::store_malformed, "chunk of " + head_name().value(), caught.what());
+    }
+}
+
+std::string render_config(const config_image& image) {
+    SerializationInfo si;
+    si.addValue("format", encoding_format);
+    si.addValue("head", image.head_text);
+    SerializationInfo& chunks = si.addMember("chunks");
+    chunks.setCategory(SerializationInfo::Object);
+    for (const auto& entry : image.chunks) {
+        chunks.addValue(entry.first, *entry.second);
+    }
+    return to_json(si);
+}
+
+base::result<std::shared_ptr<const config_image>> parse_config(const std::string& text,
+                                                               const config_image* former) {
+    try {
+        const SerializationInfo si = from_json(text);
+        bundled_chunks chunks(si.getMember("chunks"));
+        return load_image(member<std::string>(si, "head"), former, chunks);
+    } catch (const std::exception& caught) {
+        return base::failure(error_code::store_malformed, "/config", caught.what());
+    }
+}
+
+encoded_release encode_release(const fleet_config& next, const release_head& former,
+                               const decision::release_change& change) {
+    encoded_release encoded;
+    encoded.head.rev = next.rev;
+    const auto keep_or_add = [&](const std::string& text, const std::optional<chunk_ref>& before) {
+        std::optional<chunk_ref> ref;
+        if (text.empty()) {
+            return ref;
+        }
+        ref = chunk_ref{next.rev, digest_of(text)};
+        if (before && before->digest == ref->digest) {
+            return before;
+        }
+        encoded.new_chunks[to_string(*ref)] = text;
+        return ref;
+    };
+    encoded.head.fleet = keep_or_add(encode_fleet(next), former.fleet);
+    const std::array<std::string, account_chunks> accounts = encode_accounts(next);
+    for (std::size_t i = 0; i < account_chunks; ++i) {
+        encoded.head.accounts.at(i) = keep_or_add(accounts.at(i), former.accounts.at(i));
+    }
+    encoded.head.changes = former.changes;
+    encoded.head.changes.insert(encoded.head.changes.begin(), change);
+    if (encoded.head.changes.size() > listed_changes) {
+        encoded.head.changes.resize(listed_changes);
+    }
+    return encoded;
+}
+
+base::result<publisher::base_release> publisher::read_base() {
+    const base::result<stored_object> head = store_.read(head_name());
+    if (!head && head.error().code == error_code::store_not_found) {
+        config_image empty;
+        empty.config = std::make_shared<const fleet_config>();
+        return base_release{std::make_shared<const config_image>(std::move(empty)), base::object_version(0)};
+    }
+    if (!head) {
+        return tl::unexpected<error>(head.error());
+    }
+    store_chunks chunks(store_);
+    const base::result<std::shared_ptr<const config_image>> image = load_image(head->value, nullptr, chunks);
+    if (!image) {
+        return tl::unexpected<error>(image.error());
+    }
+    return base_release{*image, head->version};
+}
+
+base::result<std::shared_ptr<const config_image>> publisher::read() {
+    return read_base().map([](const base_release& release) { return release.image; });
+}
+
+base::result<void> publisher::check_acknowledged(const decision::release_note& note,
+                                                 const fleet_config& current) {
+    const std::optional<base::revision> needed = decision::revision_to_acknowledge(note, current);
+    if (!needed) {
+        return {};
+    }
+    const base::result<std::vector<base::vm_id>> behind = routers_.behind(*needed);
+    if (!behind) {
+        return tl::unexpected<error>(behind.error());
+    }
+    if (behind->empty()) {
+        return {};
+    }
+    std::string names;
+    for (const base::vm_id& vm : *behind) {
+        names += (names.empty() ? "" : ", ") + vm.value();
+    }
+    return base::failure(error_code::release_not_in_force, note.place,
+                         "revision " + std::to_string(needed->value()) + " is not acknowledged by " + names);
+}
+
+base::result<void> publisher::write_chunk(const std::string& name, const std::string& text) {
+    base::result<base::object_version> written;
+    for (int attempt = 0; attempt < limits_.attempts; ++attempt) {
+        if (attempt > 0) {
+            std::this_thread::sleep_for(limits_.pause);
+        }
+        written = store_.update(base::object_name(chunk_prefix + name), text, base::object_version(0));
+        // A conflict means that the chunk is there; its name stands for its content.
+        if (written || written.error().code == error_code::store_conflict) {
+            return {};
+        }
+        if (written.error().code != error_code::store_answer_lost) {
+            break;
+        }
+    }
+    return tl::unexpected<error>(written.error());
+}
+
+publisher::outcome publisher::look_up(const base_release& before, const decision::release_change& own) {
+    const base::result<stored_object> object = store_.read(head_name());
+    if (!object) {
+        const bool absent = object.error().code == error_code::store_not_found;
+        const bool unchanged = absent && before.version == base::object_version(0);
+        return {unchanged ? outcome::kind::not_applied : outcome::kind::unclear, std::nullopt};
+    }
+    if (object->version == before.version) {
+        return {outcome::kind::not_applied, std::nullopt};
+    }
+    const base::result<release_head> head = decode_head(object->value);
+    if (!head) {
+        return {outcome::kind::unclear, std::nullopt};
+    }
+    std::optional<decision::release_change> winner;
+    for (const decision::release_change& change : head->changes) {
+        if (change.change == own.change) {
+            return {outcome::kind::accepted, change};
+        }
+        if (change.rev == own.rev) {
+            winner = change;
+        }
+    }
+    // A stale head, or one whose list no longer reaches back to the revision in question, proves nothing.
+    return {winner ? outcome::kind::lost_race : outcome::kind::unclear, winner};
+}
+
+base::result<void> publisher::replace_head(const base_release& before, const encoded_release& next) {
+    const decision::release_change& own = next.head.changes.front();
+    const std::string text = encode_head(next.head);
+    bool may_have_applied = false;
+    for (int attempt = 0; attempt < limits_.attempts; ++attempt) {
+        if (attempt > 0) {
+            std::this_thread::sleep_for(limits_.pause);
+        }
+        const base::result<base::object_version> updated = store_.update(head_name(), text, before.version);
+        if (updated) {
+            return {};
+        }
+        const error_code code = updated.error().code;
+        may_have_applied = may_have_applied || code == error_code::store_answer_lost;
+        if (code != error_code::store_conflict && !may_have_applied) {
+            return tl::unexpected<error>(updated.error());
+        }
+        // While the old version is still seen, the update is sent again: it is conditional on that version,
+        // so it cannot apply twice, whether the first one was lost, is late, or the read is stale.
+        const outcome found = look_up(before, own);
+        if (found.what == outcome::kind::accepted) {
+            return {};
+        }
+        if (found.what == outcome::kind::lost_race) {
+            return tl::unexpected<error>(decision::describe_conflict(*found.winner));
+        }
+    }
+    if (!may_have_applied) {
+        return base::failure(error_code::note_conflict, head_name().value(),
+                             "another release was first, but the store does not show it yet");
+    }
+    return base::failure(error_code::store_answer_lost, head_name().value(),
+                         "the outcome of change " + own.change.value() +
+                             " is unknown; look for it in the list "
+                             "of releases");
+}
+
+tl::expected<published_release, std::vector<error>> publisher::publish(const decision::release_note& note,
+                                                                       const base::change_id& id) {
+    const base::result<base_release> before = read_base();
+    if (!before) {
+        return tl::unexpected<std::vector<error>>(single(before.error()));
+    }
+    const fleet_config& current = *before->image->config;
+    std::vector<error> faults = decision::validate(note, current);
+    if (note.base_revision) {
+        for (const decision::release_change& change : before->image->head.changes) {
+            if (change.rev == *note.base_revision + base::revision(1)) {
+                faults.push_back(decision::describe_conflict(change));
+            }
+        }
+    }
+    if (!faults.empty()) {
+        return tl::unexpected<std::vector<error>>(std::move(faults));
+    }
+    const base::result<void> acknowledged = check_acknowledged(note, current);
+    if (!acknowledged) {
+        return tl::unexpected<std::vector<error>>(single(acknowledged.error()));
+    }
+    const fleet_config next = decision::apply(note, current);
+    const decision::release_change change{next.rev, note.author, id, note.title};
+    const encoded_release encoded = encode_release(next, before->image->head, change);
+    for (const auto& chunk : encoded.new_chunks) {
+        const base::result<void> written = write_chunk(chunk.first, chunk.second);
+        if (!written) {
+            // Chunks without a head that names them change nothing, so no outcome is open.
+            error fault = written.error();
+            if (fault.code == error_code::store_answer_lost) {
+                fault.code = error_code::store_unavailable;
+            }
+            return tl::unexpected<std::vector<error>>(single(std::move(fault)));
+        }
+    }
+    const base::result<void> replaced = replace_head(*before, encoded);
+    if (!replaced) {
+        return tl::unexpected<std::vector<error>>(single(replaced.error()));
+    }
+    return published_release{change, std::make_shared<const fleet_config>(next)};
+}
+
+base::result<std::size_t> publisher::remove_unused_chunks(std::size_t limit) {
+    const base::result<stored_object> object = store_.read(head_name());
+    if (!object) {
+        return tl::unexpected<error>(object.error());
+    }
+    const base::result<release_head> head = decode_head(object->value);
+    if (!head) {
+        return tl::unexpected<error>(head.error());
+    }
+    const base::result<std::vector<base::object_name>> names = store_.list(chunk_prefix);
+    if (!names) {
+        return tl::unexpected<error>(names.error());
+    }
+    const std::set<std::string> used = used_chunks(*head);
+    std::size_t removed = 0;
+    for (const base::object_name& name : *names) {
+        if (removed == limit) {
+            break;
+        }
+        const std::string ref = name.value().substr(std::string(chunk_prefix).size());
+        if (used.count(ref) != 0 || !is_expired(ref, head->rev)) {
+            continue;
+        }
+        const base::result<stored_object> chunk = store_.read(name);
+        if (chunk && store_.remove(name, chunk->version)) {
+            ++removed;
+        }
+    }
+    return removed;
+}
+
+} // namespace bluebell::platform
