Bid on less and more urgent work only, repeat risen keys with the lists

Cause: 64% of the control bytes were bids, most of which only told of a key that rose by a dispatch.

Change: the bidder keeps per owner what it told. New or more urgent work, and grants that used up the told count, are told at once; a risen key waits for the 200 ms repetition. Within an account the classes take turns by the service of this router, since the fleet-wide service gave each router's ordinary work a turn before urgent work.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -11,6 +11,9 @@
 constexpr int account_count = 16;
 constexpr base::duration suspicion = std::chrono::seconds(2);
 constexpr base::duration resend = std::chrono::seconds(1);
+/// The gap is sampled after the queues filled; until then an account may hold every slot that others left
+/// free.
+constexpr base::duration warm_up = std::chrono::seconds(15);
 constexpr base::duration sample_interval = milliseconds(50);
 constexpr base::duration progress_interval = milliseconds(100);
 constexpr base::duration load_interval = milliseconds(500);
@@ -221,12 +224,12 @@
         added.what.account = base::client_account_id("account-" + std::to_string(account));
         added.what.pool = pool_name();
         const double draw = uniform(random);
-        added.what.priority = what_.one_class ? decision::request_class::ordinary
-                              : draw < 0.15   ? decision::request_class::urgent
-                              : draw < 0.7    ? decision::request_class::ordinary
-                                              : decision::request_class::patient;
+        added.what.priority = what_.uniform ? decision::request_class::ordinary
+                              : draw < 0.15 ? decision::request_class::urgent
+                              : draw < 0.7  ? decision::request_class::ordinary
+                                            : decision::request_class::patient;
         // Honest hints are right within a factor of two either way.
-        const double error = std::exp2(2 * uniform(random) - 1);
+        const double error = std::exp2(what_.uniform ? 0 : 2 * uniform(random) - 1);
         added.what.hint = base::cost(account == what_.false_hints ? 1 : added.cost * error);
         added.what.body_size = base::byte_count(2000);
         const double place = uniform(random);
@@ -328,7 +331,6 @@
     const job of = found->second;
     jobs_.erase(found);
     served_[static_cast<std::size_t>(of.account)] += of.cost;
-    ++result_.finished;
     worker& target = workers_[static_cast<std::size_t>(of.worker)];
     target.running.erase(id);
     --running_total_;
@@ -476,7 +478,7 @@
     }
     poll_load();
     advance_all();
-    sample();
+    after(warm_up, [this] { sample(); });
     if (what_.lose_router && how_ == mode::shared) {
         after(length / 3, [this] { lose(0); });
         after(2 * length / 3, [this] {
@@ -496,6 +498,12 @@
     for (std::size_t i = 0; i < waits_.size(); ++i) {
         result_.wait_ms[i] = {percentile(waits_[i], 0.5), percentile(waits_[i], 0.95)};
     }
+    for (const double cost : served_) {
+        result_.work += cost / where_.mean_cost;
+    }
+    for (const auto& [id, of] : jobs_) {
+        result_.work += delivered(of) / where_.mean_cost;
+    }
     const double node_seconds = seconds(length) * where_.routers;
     result_.bytes_per_node_second = bytes_ / node_seconds;
     for (double& bytes : result_.bytes_by_type) {
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -45,8 +45,9 @@
     bool lose_router = false;
     /// Requests are short calls of a plain service on three workers.
     bool service = false;
-    /// Every request is ordinary, so that boosts do not hide smaller differences.
-    bool one_class = false;
+    /// Every request is ordinary, of the same cost and with an exact hint, so that differences in the order
+    /// are not hidden by those of the requests.
+    bool uniform = false;
 };
 
 struct figures {
@@ -60,7 +61,8 @@
     double messages_per_node_second = 0;
     /// Bytes per node and second of bids, grants, releases, usage and usage totals.
     std::array<double, 5> bytes_by_type{};
-    std::size_t finished = 0;
+    /// Work done, in requests of mean cost.
+    double work = 0;
 };
 
 /// Size of a control message in cereal's portable binary form with IP and UDP headers: eight bytes for a
--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -33,7 +33,7 @@
 std::vector<bench::scenario> scenarios() {
     std::vector<bench::scenario> all;
     all.push_back({"even", anywhere, mixed});
-    all.push_back({"one-class", anywhere, mixed, -1, false, false, true});
+    all.push_back({"uniform", anywhere, mixed, -1, false, false, true});
     all.push_back({"low-load", anywhere, [](int, double) { return 0.85; }});
     all.push_back({"one-router", [](int, double, int) { return 0; }, mixed});
     // Each account enters at one router; a few of them share it.
@@ -62,7 +62,7 @@
 
 constexpr const char* columns[] = {"gap",   "gap_x", "busy%",   "busy_x", "urg50", "urg95",
                                    "ord50", "ord95", "pat50",   "pat95",  "B/n/s", "msg/n/s",
-                                   "bid",   "grant", "release", "usage",  "total", "done"};
+                                   "bid",   "grant", "release", "usage",  "total", "work"};
 
 void print(bool csv, const std::string& where, const std::string& what, mode how, const bench::figures& got,
            const bench::figures& central) {
@@ -73,7 +73,7 @@
     values.push_back(got.bytes_per_node_second);
     values.push_back(got.messages_per_node_second);
     values.insert(values.end(), got.bytes_by_type.begin(), got.bytes_by_type.end());
-    values.push_back(static_cast<double>(got.finished));
+    values.push_back(got.work);
     std::printf(csv ? "%s,%s,%s" : "%-12s %-11s %-11s", where.c_str(), what.c_str(), name_of(how));
     for (std::size_t i = 0; i < values.size(); ++i) {
         const int digits = i == 1 || i == 3 ? 3 : i == 2 ? 2 : 0;
--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -398,6 +398,7 @@
         if (owner != pool->second.owners.end()) {
             owner->second.held.insert(what.id);
             owner->second.unconfirmed = true;
+            ++owner->second.granted;
             touch(what.pool);
         }
     }
@@ -442,8 +443,6 @@
 
 void permit_bidder::bid_again() {
     for (auto& [pool, state] : pools_) {
-        state.told_waiting = false;
-        state.told_keys.clear();
         state.touched = true;
         active_.insert(pool);
     }
@@ -467,29 +466,29 @@
     return body;
 }
 
-bool permit_bidder::change_due(const pool_state& state, const demand& work, base::time_point now) const {
-    if (!state.touched) {
-        return false;
+bool permit_bidder::bid_due(const owner_state& to, const demand& work, bool standing,
+                            base::time_point now) const {
+    const base::duration since = now - to.sent;
+    if (work.waiting == 0) {
+        return (to.told_waiting && since >= options_.bid_change_interval) ||
+               (!to.held.empty() && since >= options_.bid_interval) ||
+               (to.unconfirmed && since >= options_.take_up_limit / 2);
     }
-    if (work.waiting > 0 && !state.told_waiting) {
+    if (to.told_waiting) {
+        const bool exhausted = to.granted >= to.told_count;
+        const bool more = work.waiting > to.told_count && to.told_count < options_.few_waiting;
+        if (exhausted || (standing && (more || key_at(work.keys, 0) < to.told_key))) {
+            return true;
+        }
+    } else if (standing) {
         return true;
     }
-    if (now - state.changed_sent < options_.bid_change_interval) {
-        return false;
-    }
-    return work.waiting != state.told_count || work.keys != state.told_keys;
+    return (standing || !to.held.empty()) && since >= options_.bid_interval;
 }
 
 void permit_bidder::collect_pool(const base::pool_id& pool, pool_state& state, const demand& work,
                                  base::time_point now, std::vector<outgoing>& messages) {
-    const bool changed = change_due(state, work, now);
-    if (changed) {
-        state.changed_sent = now;
-        state.told_waiting = work.waiting > 0;
-        state.told_count = work.waiting;
-        state.told_keys = work.keys;
-        state.touched = false;
-    }
+    state.touched = false;
     if (now - state.rotated >= options_.bid_interval) {
         state.rotated = now;
         ++state.rotation;
@@ -499,13 +498,13 @@
         owner_state& to = state.owners.at(state.order[i]);
         const bool standing = i < options_.bid_fanout ||
                               i - options_.bid_fanout == state.rotation % std::max<std::size_t>(rest, 1);
-        const bool wanted = work.waiting > 0 ? standing : to.told_waiting;
-        const bool refresh = now - to.sent >= options_.bid_interval && (wanted || !to.held.empty());
-        const bool confirm = to.unconfirmed && now - to.sent >= options_.bid_change_interval;
-        if ((changed && wanted) || refresh || confirm) {
+        if (bid_due(to, work, standing, now)) {
             messages.push_back(outgoing{state.order[i], make_bid(pool, to, work)});
             to.sent = now;
             to.told_waiting = work.waiting > 0;
+            to.told_count = work.waiting;
+            to.told_key = key_at(work.keys, 0);
+            to.granted = 0;
             to.unconfirmed = false;
         }
     }
--- a/src/decision/permit.h
+++ b/src/decision/permit.h
@@ -27,8 +27,12 @@
     base::duration learning = std::chrono::milliseconds(200);
     /// Standing bids and lists of held grants are repeated at this interval.
     base::duration bid_interval = std::chrono::milliseconds(200);
-    /// Shortest time between bids that only change a key.
+    /// Shortest time between bids of a pool that tell of less work or confirm a grant. Bids that tell of new
+    /// or more urgent work are not held back; a key that only rises waits for the next repetition.
     base::duration bid_change_interval = std::chrono::milliseconds(20);
+    /// Up to this many waiting requests each further one is told at once; an owner rarely grants more between
+    /// two repetitions.
+    std::size_t few_waiting = 4;
     /// A bid that was not repeated for this time is dropped.
     base::duration bid_lifetime = std::chrono::seconds(1);
     /// An upstream that a bidder handed back unused is not offered to it again for this time.
@@ -211,6 +215,10 @@
         bool told_waiting = false;
         /// A grant arrived that the owner has not seen in a list yet.
         bool unconfirmed = false;
+        /// Requests and lowest key told in the last bid, and grants that came since.
+        std::size_t told_count = 0;
+        base::normalised_cost told_key;
+        std::size_t granted = 0;
         std::set<base::grant_id> held;
     };
     struct pool_state {
@@ -219,17 +227,14 @@
         std::map<base::vm_id, owner_state> owners;
         std::size_t rotation = 0;
         base::time_point rotated{};
-        base::time_point changed_sent{};
         bool touched = false;
-        bool told_waiting = false;
-        std::size_t told_count = 0;
-        std::vector<base::normalised_cost> told_keys;
     };
 
     [[nodiscard]] bid make_bid(const base::pool_id& pool, const owner_state& to, const demand& work);
     void collect_pool(const base::pool_id& pool, pool_state& state, const demand& work, base::time_point now,
                       std::vector<outgoing>& messages);
-    [[nodiscard]] bool change_due(const pool_state& state, const demand& work, base::time_point now) const;
+    [[nodiscard]] bool bid_due(const owner_state& to, const demand& work, bool standing,
+                               base::time_point now) const;
 
     base::vm_id self_;
     permit_options options_;
--- a/src/decision/queue.cpp
+++ b/src/decision/queue.cpp
@@ -35,20 +35,24 @@
     pool.by_service.erase(rank(of.normalised, account));
 }
 
-/// Chooses the class that goes next and puts the account in order. Within an account a class waits at most
-/// until the account received the difference of the boosts, so that urgent work does not starve the rest.
+/// Chooses the class that goes next and puts the account in order. The key has the boost of the most urgent
+/// class. Within the account a class waits at most until the router started the difference of the boosts for
+/// it, so that urgent work does not starve the rest; the service of other routers does not count, or every
+/// router would give each class its turn and urgent work would wait for all of them.
 void queue::enrank(pool_lines& pool, const base::client_account_id& account, line& of) {
-    std::optional<base::normalised_cost> lowest;
+    std::optional<double> lowest;
+    std::optional<base::normalised_cost> boost;
     for (std::size_t i = 0; i < class_count; ++i) {
         if (!of.classes[i].empty()) {
-            const base::normalised_cost key = of.tags[i] - boost_of(pool, i);
-            if (!lowest || key < *lowest) {
-                lowest = key;
+            boost = boost.value_or(boost_of(pool, i));
+            const double tag = of.tags[i].value() - boost_of(pool, i).value();
+            if (!lowest || tag < *lowest) {
+                lowest = tag;
                 of.next_class = i;
             }
         }
     }
-    of.key = of.normalised - boost_of(pool, of.next_class);
+    of.key = of.normalised - boost.value_or(base::normalised_cost());
     pool.by_key.emplace(of.key, account);
     pool.by_service.emplace(of.normalised, account);
 }
@@ -72,7 +76,7 @@
     const std::size_t of_class = static_cast<std::size_t>(added.what.priority);
     waiting_list& list = of.classes[of_class];
     if (list.empty()) {
-        of.tags[of_class] = normalised;
+        of.tags[of_class] = of.passed;
     }
     body_bytes_ += added.what.body_size;
     deadlines_.emplace(added.what.deadline, added.what.id);
@@ -95,7 +99,7 @@
     const bool was_first = from.position == list.begin();
     list.erase(from.position);
     if (was_first) {
-        of.tags[from.of_class] = of.normalised;
+        of.tags[from.of_class] = of.passed;
     }
     body_bytes_ -= taken.what.body_size;
     deadlines_.erase({taken.what.deadline, taken.what.id});
@@ -118,6 +122,13 @@
     return take(from);
 }
 
+std::optional<waiting_request> queue::take_for_start(const base::request_id& id) {
+    const place from = places_.at(id);
+    const request& what = from.position->what;
+    pools_[from.key.pool].lines[from.key.account].passed += what.hint;
+    return remove(base::request_id(id));
+}
+
 std::optional<waiting_request> queue::pop(const base::pool_id& pool, const base::upstream_id& target) {
     const auto found = pools_.find(pool);
     if (found == pools_.end()) {
@@ -128,11 +139,11 @@
         const line& of = found->second.lines.at(next.second);
         const waiting_request& first = of.classes[of.next_class].front();
         if (may_run(first, target)) {
-            return remove(base::request_id(first.what.id));
+            return take_for_start(first.what.id);
         }
         for (const waiting_list& list : of.classes) {
             if (!list.empty() && may_run(list.front(), target)) {
-                return remove(base::request_id(list.front().what.id));
+                return take_for_start(list.front().what.id);
             }
         }
         if (++searched == max_search) {
--- a/src/decision/queue.h
+++ b/src/decision/queue.h
@@ -85,8 +85,10 @@
     /// Requests of one account in one pool.
     struct line {
         std::array<waiting_list, class_count> classes;
-        /// Service of the account when the first request of the class got to the front.
-        std::array<base::normalised_cost, class_count> tags;
+        /// `passed` when the first request of the class got to the front.
+        std::array<base::cost, class_count> tags;
+        /// Hinted cost of the requests that this router started since the account became backlogged.
+        base::cost passed;
         base::normalised_cost normalised;
         base::normalised_cost key;
         std::size_t waiting = 0;
@@ -110,6 +112,7 @@
     static void unrank(pool_lines& pool, const base::client_account_id& account, const line& of);
     static void enrank(pool_lines& pool, const base::client_account_id& account, line& of);
     waiting_request take(const place& from);
+    std::optional<waiting_request> take_for_start(const base::request_id& id);
 
     queue_options options_;
     std::map<base::pool_id, pool_lines> pools_;
