Use a slot again without its owner while the own key is low

Cause: each request that ends costs a release, a grant and two one-way delays in which the slot is idle; for 200 ms calls of a plain service this was 1.8% of the slot-time.

Change: grants carry the lowest key of the other bids. A router starts its next request in the same slot while its key is below the other bids it knows plus two requests, 16 times at most.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -60,7 +60,7 @@
         return size;
     }
     std::size_t operator()(const decision::grant& body) const {
-        return field_bytes + text(body.pool.value()) + text(body.upstream.value());
+        return 2 * field_bytes + 1 + text(body.pool.value()) + text(body.upstream.value());
     }
     std::size_t operator()(const decision::release& body) const {
         return field_bytes + text(body.pool.value()) + text(body.upstream.value()) + 1;
--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -6,6 +6,7 @@
 #include "decision/request.h"
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -71,6 +72,9 @@
     base::grant_id id;
     base::pool_id pool;
     base::upstream_id upstream;
+    /// Lowest key that another router bid; while it is fresh, the receiver may start a further request with a
+    /// lower key in the same slot.
+    std::optional<base::normalised_cost> other_key;
 };
 
 struct release {
--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -283,6 +283,21 @@
     return best;
 }
 
+std::optional<base::normalised_cost> permit_owner::lowest_key(const base::pool_id& pool,
+                                                              const base::vm_id& beside) const {
+    std::optional<base::normalised_cost> lowest;
+    const auto bids = bids_.find(pool);
+    if (bids != bids_.end()) {
+        for (const auto& [bidder, standing] : bids->second) {
+            if (bidder != beside && standing.waiting > standing.pending) {
+                const base::normalised_cost key = key_at(standing.keys, standing.pending);
+                lowest = std::min(lowest.value_or(key), key);
+            }
+        }
+    }
+    return lowest;
+}
+
 std::optional<decided_grant> permit_owner::next(const base::pool_id& pool, const demand& local,
                                                 const gate& may_start, base::time_point now) {
     std::set<base::upstream_id> skipped;
@@ -310,7 +325,12 @@
         if (to != self_) {
             ++bids_[pool][to].pending;
         }
-        return decided_grant{to, grant{id, pool, free->what.id}, tag.value_or(base::normalised_cost())};
+        std::optional<base::normalised_cost> other = lowest_key(pool, to);
+        if (to != self_ && local.waiting > 0) {
+            other = std::min(other.value_or(local.keys.front()), local.keys.front());
+        }
+        return decided_grant{to, grant{id, pool, free->what.id, other},
+                             tag.value_or(base::normalised_cost())};
     }
     return std::nullopt;
 }
--- a/src/decision/permit.h
+++ b/src/decision/permit.h
@@ -43,6 +43,12 @@
     base::duration load_lifetime = std::chrono::seconds(3);
     /// Owners that get every bid of a pool; one more rotates.
     std::size_t bid_fanout = 8;
+    /// A slot is used again without its owner while the own key is lower than those of the other bids by this
+    /// much, in requests of the pool's default cost at weight one; and so many times and so long at most.
+    double reuse_slack = 2.0;
+    std::size_t reuse_limit = 16;
+    /// Keys of other bids that came with a grant count for this time.
+    base::duration reuse_fresh = std::chrono::milliseconds(300);
     /// Keys in a bid after the first one.
     std::size_t next_keys = 3;
 };
@@ -110,6 +116,10 @@
     /// Returns grants not taken up and drops old bids. Returns the pools that have something to grant.
     std::set<base::pool_id> tick(base::time_point now);
 
+    /// Lowest key that a router other than `beside` and this one bids for the pool.
+    [[nodiscard]] std::optional<base::normalised_cost> lowest_key(const base::pool_id& pool,
+                                                                  const base::vm_id& beside) const;
+    [[nodiscard]] bool serves(const base::pool_id& pool) const { return pools_.count(pool) > 0; }
     [[nodiscard]] bool owns(const base::upstream_id& id) const { return slots_.count(id) > 0; }
     [[nodiscard]] std::size_t outstanding() const { return grants_.size(); }
     [[nodiscard]] std::int32_t used(const base::upstream_id& id) const;
--- a/src/decision/schedule.cpp
+++ b/src/decision/schedule.cpp
@@ -268,9 +268,34 @@
     running_.erase(found);
     share_.finish(ended.paid, spent);
     reprice(ended.paid.of);
+    if (may_reuse(ended, now) && start_in(ended.permit, ended.granted, ended.reused + 1)) {
+        ++reused_;
+        return;
+    }
     give_back(ended.permit, false, now);
 }
 
+/// Saves a release and a grant, and the two one-way delays in which the slot would be idle.
+bool schedule::may_reuse(const running_request& ended, base::time_point now) const {
+    const base::pool_id& pool = ended.permit.pool;
+    const base::vm_id& owner = bidder_.owner_of(ended.permit.upstream);
+    if (owner == self_ || owner.value().empty() || ended.reused >= options_.permit.reuse_limit) {
+        return false;
+    }
+    const std::vector<candidate> first = queue_.first(pool, 1);
+    const auto what = config_->pools.find(pool);
+    if (first.empty() || what == config_->pools.end()) {
+        return false;
+    }
+    const base::normalised_cost key =
+        first.front().key -
+        base::normalised_cost(options_.permit.reuse_slack * what->second.default_cost.value());
+    if (owner_.serves(pool)) {
+        return key <= owner_.lowest_key(pool, self_).value_or(key);
+    }
+    return now - ended.granted <= options_.permit.reuse_fresh && key <= ended.permit.other_key.value_or(key);
+}
+
 void schedule::report_load(const base::upstream_id& upstream, const upstream_load& load,
                            base::time_point read_at, base::time_point now) {
     now_ = now;
@@ -339,21 +364,28 @@
     }
 }
 
-void schedule::use(const grant& permit, base::time_point now) {
+bool schedule::start_in(const grant& permit, base::time_point granted, std::size_t reused) {
     std::optional<waiting_request> next;
     if (!hold_ && gate_.can_start(permit.upstream)) {
         next = queue_.pop(permit.pool, permit.upstream);
     }
     if (!next) {
-        ++unused_;
-        give_back(permit, queue_.waiting(permit.pool) > 0, now);
-        return;
+        return false;
     }
     const share_key key{permit.pool, next->what.account};
-    running_.emplace(next->what.id, running_request{permit, share_.start(key, next->what.hint)});
+    running_.emplace(next->what.id,
+                     running_request{permit, share_.start(key, next->what.hint), granted, reused});
     left_queue(key);
     reprice(key);
     output_.started.push_back(started_request{std::move(next->what), permit.upstream});
+    return true;
+}
+
+void schedule::use(const grant& permit, base::time_point now) {
+    if (!start_in(permit, now, 0)) {
+        ++unused_;
+        give_back(permit, queue_.waiting(permit.pool) > 0, now);
+    }
 }
 
 void schedule::give_back(const grant& permit, bool unused, base::time_point now) {
@@ -435,6 +467,7 @@
         {"grants_outstanding", std::to_string(owner_.outstanding())},
         {"grants_returned", std::to_string(owner_.returned())},
         {"grants_unused", std::to_string(unused_)},
+        {"grants_reused", std::to_string(reused_)},
         {"share_accounts", std::to_string(share_.accounts())},
         {"home_accounts", std::to_string(home_.accounts())},
     };
--- a/src/decision/schedule.h
+++ b/src/decision/schedule.h
@@ -150,6 +150,8 @@
     struct running_request {
         grant permit;
         charge paid;
+        base::time_point granted{};
+        std::size_t reused = 0;
     };
 
     [[nodiscard]] demand demand_of(const base::pool_id& pool) const;
@@ -160,6 +162,10 @@
     void serve(const base::pool_id& pool, base::time_point now);
     /// Starts the best request on a granted slot, or hands the slot back.
     void use(const grant& permit, base::time_point now);
+    /// Starts the best request in a slot. Returns false if there is none.
+    bool start_in(const grant& permit, base::time_point granted, std::size_t reused);
+    /// Whether a slot that became free may take the next request without its owner.
+    [[nodiscard]] bool may_reuse(const running_request& ended, base::time_point now) const;
     void give_back(const grant& permit, bool unused, base::time_point now);
     void refuse(waiting_request&& removed, base::error cause);
     void left_queue(const share_key& key);
@@ -187,6 +193,7 @@
     base::time_point now_{};
     std::uint64_t loop_sequence_ = 0;
     std::uint64_t unused_ = 0;
+    std::uint64_t reused_ = 0;
     bool hold_ = false;
 };
 
