Tell totals, usage and keys by the size of their change

Cause: usage totals went to every router every 100 ms, and standing bids were repeated every 200 ms even if little had changed.

Change: reports and answers wait until a total changed by a part of the default cost (0.25 and 1.0), at most 1 s. Bids repeat after 500 ms, or less often under a limit of 24 repetitions/s; a key that dropped by 0.25 or rose by 1.0 requests is told earlier.

--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -486,24 +486,40 @@
     return body;
 }
 
+base::duration permit_bidder::repetition() const {
+    std::size_t pairs = 0;
+    for (const base::pool_id& pool : active_) {
+        const auto found = pools_.find(pool);
+        pairs += found == pools_.end() ? 0 : std::min(found->second.order.size(), options_.bid_fanout + 1);
+    }
+    const auto spread = std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(static_cast<double>(pairs) / options_.bids_per_second));
+    return std::clamp(spread, options_.bid_interval, options_.longest_bid_interval);
+}
+
 bool permit_bidder::bid_due(const owner_state& to, const demand& work, bool standing,
                             base::time_point now) const {
     const base::duration since = now - to.sent;
+    if (to.unconfirmed && since >= options_.take_up_limit / 2) {
+        return true;
+    }
     if (work.waiting == 0) {
         return (to.told_waiting && since >= options_.bid_change_interval) ||
-               (!to.held.empty() && since >= options_.bid_interval) ||
-               (to.unconfirmed && since >= options_.take_up_limit / 2);
+               (!to.held.empty() && since >= repetition());
     }
     if (to.told_waiting) {
+        const base::normalised_cost key = key_at(work.keys, 0);
         const bool exhausted = to.granted >= to.told_count;
         const bool more = work.waiting > to.told_count && to.told_count < options_.few_waiting;
-        if (exhausted || (standing && (more || key_at(work.keys, 0) < to.told_key))) {
+        const bool lower = key < to.told_key - work.step * options_.key_drop;
+        const bool higher = key > to.told_key + work.step * options_.key_rise;
+        if (exhausted || (standing && (more || lower || (higher && since >= options_.bid_raise_interval)))) {
             return true;
         }
     } else if (standing) {
         return true;
     }
-    return (standing || !to.held.empty()) && since >= options_.bid_interval;
+    return (standing || !to.held.empty()) && since >= repetition();
 }
 
 void permit_bidder::collect_pool(const base::pool_id& pool, pool_state& state, const demand& work,
@@ -539,6 +555,11 @@
             continue;
         }
         pool_state& state = found->second;
+        if (!state.touched && now - state.checked < options_.check_interval) {
+            ++position;
+            continue;
+        }
+        state.checked = now;
         const demand work = current(*position);
         collect_pool(*position, state, work, now, messages);
         const bool busy = work.waiting > 0 || state.touched ||
--- a/src/decision/permit.h
+++ b/src/decision/permit.h
@@ -25,16 +25,25 @@
     base::duration take_up_limit = std::chrono::milliseconds(250);
     /// How long a new owner listens to bids before it grants.
     base::duration learning = std::chrono::milliseconds(200);
-    /// Standing bids and lists of held grants are repeated at this interval.
-    base::duration bid_interval = std::chrono::milliseconds(200);
+    /// Standing bids and lists of held grants are repeated at this interval, or so seldom that the
+    /// repetitions of all pools to all their owners stay below `bids_per_second`.
+    base::duration bid_interval = std::chrono::milliseconds(500);
+    base::duration longest_bid_interval = std::chrono::seconds(2);
+    double bids_per_second = 24;
+    /// Shortest time between bids of a pool to an owner that tell of a risen key.
+    base::duration bid_raise_interval = std::chrono::milliseconds(100);
+    /// Differences of a key that are told before the next repetition, in requests of the default cost at
+    /// weight one.
+    double key_drop = 0.25;
+    double key_rise = 1.0;
     /// Shortest time between bids of a pool that tell of less work or confirm a grant. Bids that tell of new
-    /// or more urgent work are not held back; a key that only rises waits for the next repetition.
+    /// or more urgent work are not held back.
     base::duration bid_change_interval = std::chrono::milliseconds(20);
     /// Up to this many waiting requests each further one is told at once; an owner rarely grants more between
     /// two repetitions.
     std::size_t few_waiting = 4;
     /// A bid that was not repeated for this time is dropped.
-    base::duration bid_lifetime = std::chrono::seconds(1);
+    base::duration bid_lifetime = std::chrono::seconds(5);
     /// An upstream that a bidder handed back unused is not offered to it again for this time.
     base::duration unused_hold = std::chrono::milliseconds(100);
     /// Ended grants are remembered for this time, so that a late message does not revive them.
@@ -49,6 +58,8 @@
     std::size_t reuse_limit = 16;
     /// Keys of other bids that came with a grant count for this time.
     base::duration reuse_fresh = std::chrono::milliseconds(300);
+    /// A pool whose demand was not touched is checked for due bids at this interval.
+    base::duration check_interval = std::chrono::milliseconds(5);
     /// Keys in a bid after the first one.
     std::size_t next_keys = 3;
 };
@@ -75,6 +86,8 @@
     std::vector<base::normalised_cost> keys;
     /// Lowest normalised service among the waiting accounts.
     base::normalised_cost start_tag;
+    /// Default cost of the pool at weight one; differences of keys are judged by it.
+    base::normalised_cost step;
 };
 
 /// A slot given to a router.
@@ -238,6 +251,7 @@
         std::size_t rotation = 0;
         base::time_point rotated{};
         bool touched = false;
+        base::time_point checked{};
     };
 
     [[nodiscard]] bid make_bid(const base::pool_id& pool, const owner_state& to, const demand& work);
@@ -245,6 +259,7 @@
                       std::vector<outgoing>& messages);
     [[nodiscard]] bool bid_due(const owner_state& to, const demand& work, bool standing,
                                base::time_point now) const;
+    [[nodiscard]] base::duration repetition() const;
 
     base::vm_id self_;
     permit_options options_;
--- a/src/decision/schedule.cpp
+++ b/src/decision/schedule.cpp
@@ -20,6 +20,7 @@
     config_ = std::move(config);
     share_.configure(config_);
     for (const auto& [id, what] : config_->pools) {
+        home_.set_default_cost(id, what.default_cost);
         queue_.set_boost(id, base::normalised_cost(options_.boost_requests * what.default_cost.value()));
     }
     std::vector<waiting_request> removed = queue_.remove_if([this](const request& what) {
@@ -239,9 +240,6 @@
 
 void schedule::reprice(const share_key& key) {
     queue_.reprice(key, share_.normalised(key));
-    if (queue_.waiting(key.pool) > 0) {
-        bidder_.touch(key.pool);
-    }
 }
 
 void schedule::reprice_pool(const base::pool_id& pool) {
@@ -333,6 +331,8 @@
     work.account = candidates.front().account;
     work.priority = candidates.front().priority;
     work.start_tag = *queue_.lowest_service(pool);
+    const auto what = config_->pools.find(pool);
+    work.step = base::normalised_cost(what == config_->pools.end() ? 0 : what->second.default_cost.value());
     while (work.keys.size() < std::min(count, work.waiting)) {
         const auto lowest =
             std::min_element(candidates.begin(), candidates.end(),
--- a/src/decision/share.cpp
+++ b/src/decision/share.cpp
@@ -1,6 +1,7 @@
 #include "decision/share.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bluebell::decision {
 namespace {
@@ -70,8 +71,10 @@
     if (backlogged && !state.others_backlogged) {
         lift_to_virtual_time(key, state);
     }
-    state.urgent = backlogged && !state.home_backlogged;
     dirty_.insert(key);
+    if (backlogged && !state.home_backlogged) {
+        urgent_.insert(key);
+    }
 }
 
 void share::add(const share_key& key, account_state& state, base::normalised_cost amount) {
@@ -163,20 +166,39 @@
                        state.known_part, state.backlogged};
 }
 
+bool share::report_due(const share_key& key, const account_state& state, base::time_point now) const {
+    if (state.backlogged != state.home_backlogged || now - state.reported >= options_.small_change_interval) {
+        return true;
+    }
+    const auto pool = config_->pools.find(key.pool);
+    const double quantum =
+        pool == config_->pools.end() ? 0 : options_.report_quantum * pool->second.default_cost.value();
+    return std::abs((state.own_total - state.reported_total).value()) >= quantum;
+}
+
 std::vector<outgoing> share::collect(const home_of& home, base::time_point now) {
     std::vector<outgoing> messages;
-    const bool due = now - last_report_ >= options_.report_interval;
     std::map<base::vm_id, std::vector<usage_entry>> entries;
-    for (const share_key& key : dirty_) {
-        account_state& state = accounts_[key];
-        if (due || state.urgent) {
-            state.urgent = false;
-            entries[home(key)].push_back(report_of(key, state));
-        }
-    }
-    if (due) {
+    const std::function<void(const share_key&, account_state&)> report = [&](const share_key& key,
+                                                                             account_state& state) {
+        state.reported = now;
+        state.reported_total = state.own_total;
+        entries[home(key)].push_back(report_of(key, state));
+    };
+    if (now - last_report_ >= options_.report_interval) {
         last_report_ = now;
+        for (const share_key& key : dirty_) {
+            account_state& state = accounts_[key];
+            if (urgent_.count(key) > 0 || report_due(key, state, now)) {
+                report(key, state);
+            }
+        }
+    } else {
+        for (const share_key& key : urgent_) {
+            report(key, accounts_[key]);
+        }
     }
+    urgent_.clear();
     append_batches<usage>(messages, entries, options_.entries_per_message);
     return messages;
 }
@@ -208,7 +230,7 @@
         if (now - account.created <= options_.home_learning) {
             account.total = std::max(account.total, entry.known_total);
         }
-        from = part{header.life, 0, entry.known_part, false, false};
+        from = part{header.life, 0, entry.known_part, false, false, {}, {}};
     } else if (header.life < from.life || header.sequence <= from.sequence) {
         return;
     }
@@ -234,6 +256,20 @@
     }
 }
 
+bool home::answer_due(const share_key& key, const account_total& account, const part& item,
+                      base::time_point now) const {
+    if (item.answer_due) {
+        return true;
+    }
+    if (!item.backlogged) {
+        return false;
+    }
+    const auto cost = default_costs_.find(key.pool);
+    const double quantum = cost == default_costs_.end() ? 0 : options_.answer_quantum * cost->second.value();
+    return std::abs((account.total - item.answered_total).value()) >= quantum ||
+           now - item.answered >= options_.small_change_interval;
+}
+
 std::vector<outgoing> home::collect(base::time_point now) {
     std::vector<outgoing> messages;
     if (changed_.empty() || now - last_answer_ < options_.report_interval) {
@@ -241,18 +277,23 @@
     }
     last_answer_ = now;
     std::map<base::vm_id, std::vector<usage_total_entry>> entries;
-    for (const share_key& key : changed_) {
+    for (auto position = changed_.begin(); position != changed_.end();) {
+        const share_key& key = *position;
         account_total& account = accounts_[key];
+        bool all_told = true;
         for (auto& [member, item] : account.parts) {
-            if (item.backlogged || item.answer_due) {
+            if (answer_due(key, account, item, now)) {
                 item.answer_due = false;
+                item.answered = now;
+                item.answered_total = account.total;
                 entries[member].push_back(usage_total_entry{key.pool, key.account, account.total,
                                                             item.counted, item.backlogged,
                                                             backlogged_beside(account, member)});
             }
+            all_told = all_told && (!item.backlogged || item.answered_total == account.total);
         }
+        position = all_told ? changed_.erase(position) : std::next(position);
     }
-    changed_.clear();
     append_batches<usage_total>(messages, entries, options_.entries_per_message);
     return messages;
 }
--- a/src/decision/share.h
+++ b/src/decision/share.h
@@ -23,6 +23,12 @@
 struct share_options {
     /// Shortest time between two reports to the same home, and between two answers of a home.
     base::duration report_interval = std::chrono::milliseconds(100);
+    /// A change of a total is told once it reaches this part of the pool's default cost at weight one,
+    /// smaller ones after `small_change_interval`. What a router learns late widens the gap by about this
+    /// much.
+    double report_quantum = 0.25;
+    double answer_quantum = 1.0;
+    base::duration small_change_interval = std::chrono::seconds(1);
     /// Bounds of the ratio of real to hinted cost. The upper bound is wide, since a hint of one token for a
     /// long answer would otherwise still pay off.
     double lowest_hint_factor = 1.0 / 64.0;
@@ -116,7 +122,9 @@
         /// What the home last said about `backlogged`.
         bool home_backlogged = false;
         bool heard = false;
-        bool urgent = false;
+        /// When and with which total the last report left.
+        base::time_point reported{};
+        base::normalised_cost reported_total;
         base::incarnation home_life;
         std::uint64_t home_sequence = 0;
         double real_sum = 0;
@@ -126,6 +134,8 @@
     [[nodiscard]] static base::normalised_cost level(const account_state& state);
     void lift_to_virtual_time(const share_key& key, account_state& state);
     void add(const share_key& key, account_state& state, base::normalised_cost amount);
+    [[nodiscard]] bool report_due(const share_key& key, const account_state& state,
+                                  base::time_point now) const;
     [[nodiscard]] usage_entry report_of(const share_key& key, const account_state& state) const;
 
     share_options options_;
@@ -134,6 +144,8 @@
     std::map<base::pool_id, base::normalised_cost> times_;
     /// Accounts whose state differs from what their home acknowledged.
     std::set<share_key> dirty_;
+    /// Accounts that became backlogged; their reports do not wait, since the home decides on the raise.
+    std::set<share_key> urgent_;
     base::time_point last_report_{};
 };
 
@@ -151,6 +163,8 @@
     void lose_member(const base::vm_id& member);
     /// Answers that are due at `now`.
     [[nodiscard]] std::vector<outgoing> collect(base::time_point now);
+    /// Sets the cost that quantums of the pool refer to.
+    void set_default_cost(const base::pool_id& pool, base::cost value) { default_costs_[pool] = value; }
 
     /// Empty if nothing was reported.
     [[nodiscard]] std::optional<base::normalised_cost> total(const share_key& key) const;
@@ -163,6 +177,9 @@
         base::normalised_cost counted;
         bool backlogged = false;
         bool answer_due = false;
+        /// When and with which total the last answer left.
+        base::time_point answered{};
+        base::normalised_cost answered_total;
     };
     struct account_total {
         base::normalised_cost total;
@@ -176,6 +193,10 @@
 
     share_options options_;
     std::unordered_map<share_key, account_total, share_key_hash> accounts_;
+    [[nodiscard]] bool answer_due(const share_key& key, const account_total& account, const part& item,
+                                  base::time_point now) const;
+
+    std::map<base::pool_id, base::cost> default_costs_;
     std::set<share_key> changed_;
     base::time_point last_answer_{};
 };
