Ask for unlisted grants before taking them back

Cause: a grant whose confirming list was lost returned after 250 ms while the bidder used it, and a lost release was only repaired if the bidder happened to bid again.

Change: the owner sends an unlisted grant again as a question, four times at most; the bidder confirms a held one, repeats the release of an ended one, and sends one more list after its last grant ended. Only a release marks a grant as ended, so that a returned one can be counted again.

--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -70,7 +70,7 @@
     listed_ = std::max(visible, listed);
 }
 
-void permit_owner::lose_member(const base::vm_id& member, base::time_point now) {
+void permit_owner::lose_member(const base::vm_id& member) {
     for (auto& [pool, bids] : bids_) {
         bids.erase(member);
     }
@@ -80,19 +80,17 @@
     }
     const std::set<base::grant_id> ids = found->second;
     for (const base::grant_id& id : ids) {
-        drop(grants_.find(id), now);
+        drop(grants_.find(id));
     }
     by_holder_.erase(member);
 }
 
-void permit_owner::drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position,
-                        base::time_point now) {
+void permit_owner::drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position) {
     const auto slots = slots_.find(position->second.upstream);
     if (slots != slots_.end()) {
         --slots->second.used;
     }
     by_holder_[position->second.holder].erase(position->first);
-    ended_.add(position->first, now, options_.ended_memory);
     grants_.erase(position);
 }
 
@@ -104,7 +102,7 @@
     }
     ++slots->second.used;
     slots->second.peak = std::max(slots->second.peak, slots->second.used);
-    grants_.emplace(held.id, outstanding_grant{held.upstream, pool, holder, now, true});
+    grants_.emplace(held.id, outstanding_grant{held.upstream, pool, holder, now, true, now, 0});
     by_holder_[holder].insert(held.id);
 }
 
@@ -117,6 +115,8 @@
         const auto found = grants_.find(held.id);
         if (found != grants_.end()) {
             found->second.confirmed = true;
+            found->second.checked = now;
+            found->second.questions = 0;
         } else if (!ended_.contains(held.id)) {
             adopt(from, held, body.pool, now);
         }
@@ -131,7 +131,7 @@
     }
     for (const base::grant_id& id : gone) {
         ++returned_;
-        drop(grants_.find(id), now);
+        drop(grants_.find(id));
     }
 }
 
@@ -180,7 +180,8 @@
     if (body.unused) {
         bids_[body.pool][from].unused_until[body.upstream] = now + options_.unused_hold;
     }
-    drop(found, now);
+    drop(found);
+    ended_.add(body.id, now, options_.ended_memory);
 }
 
 std::int32_t permit_owner::partition_share(const slot_state& state) const {
@@ -320,7 +321,7 @@
         const base::grant_id id(id_base_ | ++next_id_);
         ++free->used;
         free->peak = std::max(free->peak, free->used);
-        grants_.emplace(id, outstanding_grant{free->what.id, pool, to, now, to == self_});
+        grants_.emplace(id, outstanding_grant{free->what.id, pool, to, now, to == self_, now, 0});
         by_holder_[to].insert(id);
         if (to != self_) {
             ++bids_[pool][to].pending;
@@ -335,7 +336,7 @@
     return std::nullopt;
 }
 
-std::set<base::pool_id> permit_owner::tick(base::time_point now) {
+std::set<base::pool_id> permit_owner::tick(base::time_point now, std::vector<outgoing>& questions) {
     std::set<base::pool_id> ready;
     for (auto& [pool, bids] : bids_) {
         for (auto& [bidder, standing] : bids) {
@@ -348,15 +349,23 @@
         }
     }
     std::vector<base::grant_id> late;
-    for (const auto& [id, item] : grants_) {
-        if (!item.confirmed && now - item.issued > options_.take_up_limit) {
+    for (auto& [id, item] : grants_) {
+        const bool asked = item.questions > 0 || !item.confirmed;
+        const base::duration patience = asked ? options_.take_up_limit : options_.listed_limit;
+        if (item.holder == self_ || now - item.checked < patience) {
+            continue;
+        }
+        item.checked = now;
+        if (item.questions++ < options_.question_limit) {
+            questions.push_back(outgoing{item.holder, grant{id, item.pool, item.upstream, std::nullopt}});
+        } else {
             late.push_back(id);
         }
     }
     for (const base::grant_id& id : late) {
         ++returned_;
         ready.insert(grants_.at(id).pool);
-        drop(grants_.find(id), now);
+        drop(grants_.find(id));
     }
     return ready;
 }
@@ -407,22 +416,22 @@
     return found == owner_of_.end() ? none : found->second;
 }
 
-bool permit_bidder::hold(const base::vm_id& from, const grant& what) {
-    if (held_.count(what.id) > 0 || ended_.contains(what.id)) {
-        return false;
+grant_state permit_bidder::hold(const base::vm_id& from, const grant& what) {
+    if (ended_.contains(what.id)) {
+        return grant_state::ended;
     }
-    held_.emplace(what.id, held_state{what, from});
+    const bool created = held_.emplace(what.id, held_state{what, from}).second;
     const auto pool = pools_.find(what.pool);
     if (pool != pools_.end()) {
         const auto owner = pool->second.owners.find(from);
         if (owner != pool->second.owners.end()) {
             owner->second.held.insert(what.id);
             owner->second.unconfirmed = true;
-            ++owner->second.granted;
+            owner->second.granted += created ? 1 : 0;
             touch(what.pool);
         }
     }
-    return true;
+    return created ? grant_state::taken : grant_state::held;
 }
 
 base::vm_id permit_bidder::drop(base::grant_id id, base::time_point now) {
@@ -438,6 +447,8 @@
         const auto owner = pool->second.owners.find(item.owner);
         if (owner != pool->second.owners.end()) {
             owner->second.held.erase(id);
+            owner->second.list_due = true;
+            active_.insert(item.what.pool);
         }
     }
     return item.owner;
@@ -505,7 +516,7 @@
     }
     if (work.waiting == 0) {
         return (to.told_waiting && since >= options_.bid_change_interval) ||
-               (!to.held.empty() && since >= repetition());
+               ((!to.held.empty() || to.list_due) && since >= repetition());
     }
     if (to.told_waiting) {
         const base::normalised_cost key = key_at(work.keys, 0);
@@ -519,7 +530,7 @@
     } else if (standing) {
         return true;
     }
-    return (standing || !to.held.empty()) && since >= repetition();
+    return (standing || !to.held.empty() || to.list_due) && since >= repetition();
 }
 
 void permit_bidder::collect_pool(const base::pool_id& pool, pool_state& state, const demand& work,
@@ -542,6 +553,7 @@
             to.told_key = key_at(work.keys, 0);
             to.granted = 0;
             to.unconfirmed = false;
+            to.list_due = false;
         }
     }
 }
@@ -562,10 +574,11 @@
         state.checked = now;
         const demand work = current(*position);
         collect_pool(*position, state, work, now, messages);
-        const bool busy = work.waiting > 0 || state.touched ||
-                          std::any_of(state.owners.begin(), state.owners.end(), [](const auto& item) {
-                              return item.second.told_waiting || !item.second.held.empty();
-                          });
+        const bool busy =
+            work.waiting > 0 || state.touched ||
+            std::any_of(state.owners.begin(), state.owners.end(), [](const auto& item) {
+                return item.second.told_waiting || item.second.list_due || !item.second.held.empty();
+            });
         position = busy ? std::next(position) : active_.erase(position);
     }
     return messages;
--- a/src/decision/permit.h
+++ b/src/decision/permit.h
@@ -21,8 +21,12 @@
 namespace bluebell::decision {
 
 struct permit_options {
-    /// A grant that the bidder has not listed as held after this time returns to the owner.
+    /// A grant that the bidder has not listed as held after this time is sent again, as a question; after
+    /// `question_limit` unanswered ones it returns to the owner.
     base::duration take_up_limit = std::chrono::milliseconds(250);
+    int question_limit = 4;
+    /// The same for a grant that was listed before. Longer than `longest_bid_interval`.
+    base::duration listed_limit = std::chrono::seconds(3);
     /// How long a new owner listens to bids before it grants.
     base::duration learning = std::chrono::milliseconds(200);
     /// Standing bids and lists of held grants are repeated at this interval, or so seldom that the
@@ -98,6 +102,13 @@
     base::normalised_cost lowest_start_tag;
 };
 
+/// What a bidder knows of a grant that arrives.
+enum class grant_state {
+    taken, ///< new; the bidder holds it now
+    held,  ///< held already
+    ended, ///< used and given back
+};
+
 /// Owner side: the slots of the upstreams that this router owns.
 /// Thread safety: used by one thread.
 class permit_owner {
@@ -110,7 +121,7 @@
     /// In a partition only the visible part of the listed members competes for the slots.
     void set_visible(std::size_t visible, std::size_t listed);
     /// Returns the grants of a router and drops its bids.
-    void lose_member(const base::vm_id& member, base::time_point now);
+    void lose_member(const base::vm_id& member);
 
     void receive(const base::vm_id& from, base::incarnation life, const bid& body, base::time_point now);
     /// Frees the slot of a grant; unknown and repeated ones are ignored.
@@ -126,8 +137,9 @@
     /// Gives the next free slot of a pool to the lowest bid, if there are both. `local` is the own demand.
     [[nodiscard]] std::optional<decided_grant> next(const base::pool_id& pool, const demand& local,
                                                     const gate& may_start, base::time_point now);
-    /// Returns grants not taken up and drops old bids. Returns the pools that have something to grant.
-    std::set<base::pool_id> tick(base::time_point now);
+    /// Asks for grants that were not listed, returns them when unanswered, and drops old bids. Appends the
+    /// questions to `questions`. Returns the pools that may have something to grant.
+    std::set<base::pool_id> tick(base::time_point now, std::vector<outgoing>& questions);
 
     /// Lowest key that a router other than `beside` and this one bids for the pool.
     [[nodiscard]] std::optional<base::normalised_cost> lowest_key(const base::pool_id& pool,
@@ -156,6 +168,9 @@
         base::vm_id holder;
         base::time_point issued{};
         bool confirmed = false;
+        /// When the holder listed it or was asked for it.
+        base::time_point checked{};
+        int questions = 0;
     };
     struct standing_bid {
         base::incarnation life;
@@ -179,7 +194,7 @@
                                             const base::upstream_id& id, base::time_point now) const;
     [[nodiscard]] bool held_back(const base::pool_id& pool, const base::vm_id& bidder,
                                  const base::upstream_id& id, base::time_point now) const;
-    void drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position, base::time_point now);
+    void drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position);
     void repair(const base::vm_id& from, const bid& body, base::time_point now);
     std::size_t count_pending(const base::vm_id& from, const base::pool_id& pool) const;
 
@@ -210,8 +225,8 @@
                     const std::map<base::upstream_id, base::vm_id>& owners);
     [[nodiscard]] const base::vm_id& owner_of(const base::upstream_id& upstream) const;
 
-    /// Takes a grant. Returns false if it is a repeated one that is held or ended.
-    bool hold(const base::vm_id& from, const grant& what);
+    /// Takes a grant unless it is known. A known one is confirmed with the next bid.
+    grant_state hold(const base::vm_id& from, const grant& what);
     /// Ends a grant. Returns the current owner of the upstream, to which the release goes; empty if the
     /// upstream is gone or the grant is unknown.
     base::vm_id drop(base::grant_id id, base::time_point now);
@@ -238,6 +253,8 @@
         bool told_waiting = false;
         /// A grant arrived that the owner has not seen in a list yet.
         bool unconfirmed = false;
+        /// A grant ended; one more list repairs a lost release.
+        bool list_due = false;
         /// Requests and lowest key told in the last bid, and grants that came since.
         std::size_t told_count = 0;
         base::normalised_cost told_key;
--- a/src/decision/schedule.cpp
+++ b/src/decision/schedule.cpp
@@ -45,7 +45,7 @@
     owner_.set_visible(members_.live.size(), members_.listed);
     for (const base::vm_id& member : before.live) {
         if (std::find(members_.live.begin(), members_.live.end(), member) == members_.live.end()) {
-            owner_.lose_member(member, now);
+            owner_.lose_member(member);
             home_.lose_member(member);
         }
     }
@@ -164,7 +164,7 @@
     }
     if (header.life > known->second) {
         known->second = header.life;
-        owner_.lose_member(header.sender, now);
+        owner_.lose_member(header.sender);
         home_.lose_member(header.sender);
     }
     return true;
@@ -181,10 +181,19 @@
 }
 
 void schedule::receive(const message_header& header, const grant& body, base::time_point now) {
-    if (!accept(header, now) || !bidder_.hold(header.sender, body)) {
+    if (!accept(header, now)) {
         return;
     }
-    use(body, now);
+    switch (bidder_.hold(header.sender, body)) {
+    case grant_state::taken:
+        use(body, now);
+        break;
+    case grant_state::held:
+        break;
+    case grant_state::ended:
+        output_.messages.push_back(outgoing{header.sender, release{body.id, body.pool, body.upstream}});
+        break;
+    }
 }
 
 void schedule::receive(const message_header& header, const release& body, base::time_point now) {
@@ -431,7 +440,7 @@
         refuse(std::move(item), base::error{base::error_code::deadline_exceeded, self_.value(),
                                             "the deadline passed while the request waited"});
     }
-    std::set<base::pool_id> ready = owner_.tick(now);
+    std::set<base::pool_id> ready = owner_.tick(now, output_.messages);
     for (const base::pool_id& pool : active_) {
         if (queue_.waiting(pool) > 0) {
             ready.insert(pool);
