--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -70,7 +70,7 @@
     listed_ = std::max(visible, listed);
 }
 
-void permit_owner::lose_member(const base::vm_id& member, base::time_point now) {
+void permit_owner::lose_member(const base::vm_id& member) {
     for (auto& [pool, bids] : bids_) {
         bids.erase(member);
     }
@@ -80,19 +80,17 @@
     }
     const std::set<base::grant_id> ids = found->second;
     for (const base::grant_id& id : ids) {
-        drop(grants_.find(id), now);
+        drop(grants_.find(id));
     }
     by_holder_.erase(member);
 }
 
-void permit_owner::drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position,
-                        base::time_point now) {
+void permit_owner::drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position) {
     const auto slots = slots_.find(position->second.upstream);
     if (slots != slots_.end()) {
         --slots->second.used;
     }
     by_holder_[position->second.holder].erase(position->first);
-    ended_.add(position->first, now, options_.ended_memory);
     grants_.erase(position);
 }
 
@@ -104,7 +102,7 @@
     }
     ++slots->second.used;
     slots->second.peak = std::max(slots->second.peak, slots->second.used);
-    grants_.emplace(held.id, outstanding_grant{held.upstream, pool, holder, now, true});
+    grants_.emplace(held.id, outstanding_grant{held.upstream, pool, holder, now, true, now, 0});
     by_holder_[holder].insert(held.id);
 }
 
@@ -117,6 +115,8 @@
         const auto found = grants_.find(held.id);
         if (found != grants_.end()) {
             found->second.confirmed = true;
+            found->second.checked = now;
+            found->second.questions = 0;
         } else if (!ended_.contains(held.id)) {
             adopt(from, held, body.pool, now);
         }
@@ -131,7 +131,7 @@
     }
     for (const base::grant_id& id : gone) {
         ++returned_;
-        drop(grants_.find(id), now);
+        drop(grants_.find(id));
     }
 }
 
@@ -180,7 +180,8 @@
     if (body.unused) {
         bids_[body.pool][from].unused_until[body.upstream] = now + options_.unused_hold;
     }
-    drop(found, now);
+    drop(found);
+    ended_.add(body.id, now, options_.ended_memory);
 }
 
 std::int32_t permit_owner::partition_share(const slot_state& state) const {
@@ -283,6 +284,21 @@
     return best;
 }
 
+std::optional<base::normalised_cost> permit_owner::lowest_key(const base::pool_id& pool,
+                                                              const base::vm_id& beside) const {
+    std::optional<base::normalised_cost> lowest;
+    const auto bids = bids_.find(pool);
+    if (bids != bids_.end()) {
+        for (const auto& [bidder, standing] : bids->second) {
+            if (bidder != beside && standing.waiting > standing.pending) {
+                const base::normalised_cost key = key_at(standing.keys, standing.pending);
+                lowest = std::min(lowest.value_or(key), key);
+            }
+        }
+    }
+    return lowest;
+}
+
 std::optional<decided_grant> permit_owner::next(const base::pool_id& pool, const demand& local,
                                                 const gate& may_start, base::time_point now) {
     std::set<base::upstream_id> skipped;
@@ -305,17 +321,22 @@
         const base::grant_id id(id_base_ | ++next_id_);
         ++free->used;
         free->peak = std::max(free->peak, free->used);
-        grants_.emplace(id, outstanding_grant{free->what.id, pool, to, now, to == self_});
+        grants_.emplace(id, outstanding_grant{free->what.id, pool, to, now, to == self_, now, 0});
         by_holder_[to].insert(id);
         if (to != self_) {
             ++bids_[pool][to].pending;
         }
-        return decided_grant{to, grant{id, pool, free->what.id}, tag.value_or(base::normalised_cost())};
+        std::optional<base::normalised_cost> other = lowest_key(pool, to);
+        if (to != self_ && local.waiting > 0) {
+            other = std::min(other.value_or(local.keys.front()), local.keys.front());
+        }
+        return decided_grant{to, grant{id, pool, free->what.id, other},
+                             tag.value_or(base::normalised_cost())};
     }
     return std::nullopt;
 }
 
-std::set<base::pool_id> permit_owner::tick(base::time_point now) {
+std::set<base::pool_id> permit_owner::tick(base::time_point now, std::vector<outgoing>& questions) {
     std::set<base::pool_id> ready;
     for (auto& [pool, bids] : bids_) {
         for (auto& [bidder, standing] : bids) {
@@ -328,15 +349,23 @@
         }
     }
     std::vector<base::grant_id> late;
-    for (const auto& [id, item] : grants_) {
-        if (!item.confirmed && now - item.issued > options_.take_up_limit) {
+    for (auto& [id, item] : grants_) {
+        const bool asked = item.questions > 0 || !item.confirmed;
+        const base::duration patience = asked ? options_.take_up_limit : options_.listed_limit;
+        if (item.holder == self_ || now - item.checked < patience) {
+            continue;
+        }
+        item.checked = now;
+        if (item.questions++ < options_.question_limit) {
+            questions.push_back(outgoing{item.holder, grant{id, item.pool, item.upstream, std::nullopt}});
+        } else {
             late.push_back(id);
         }
     }
     for (const base::grant_id& id : late) {
         ++returned_;
         ready.insert(grants_.at(id).pool);
-        drop(grants_.find(id), now);
+        drop(grants_.find(id));
     }
     return ready;
 }
@@ -387,21 +416,22 @@
     return found == owner_of_.end() ? none : found->second;
 }
 
-bool permit_bidder::hold(const base::vm_id& from, const grant& what) {
-    if (held_.count(what.id) > 0 || ended_.contains(what.id)) {
-        return false;
+grant_state permit_bidder::hold(const base::vm_id& from, const grant& what) {
+    if (ended_.contains(what.id)) {
+        return grant_state::ended;
     }
-    held_.emplace(what.id, held_state{what, from});
+    const bool created = held_.emplace(what.id, held_state{what, from}).second;
     const auto pool = pools_.find(what.pool);
     if (pool != pools_.end()) {
         const auto owner = pool->second.owners.find(from);
         if (owner != pool->second.owners.end()) {
             owner->second.held.insert(what.id);
             owner->second.unconfirmed = true;
+            owner->second.granted += created ? 1 : 0;
             touch(what.pool);
         }
     }
-    return true;
+    return created ? grant_state::taken : grant_state::held;
 }
 
 base::vm_id permit_bidder::drop(base::grant_id id, base::time_point now) {
@@ -417,6 +447,8 @@
         const auto owner = pool->second.owners.find(item.owner);
         if (owner != pool->second.owners.end()) {
             owner->second.held.erase(id);
+            owner->second.list_due = true;
+            active_.insert(item.what.pool);
         }
     }
     return item.owner;
@@ -442,8 +474,6 @@
 
 void permit_bidder::bid_again() {
     for (auto& [pool, state] : pools_) {
-        state.told_waiting = false;
-        state.told_keys.clear();
         state.touched = true;
         active_.insert(pool);
     }
@@ -467,29 +497,45 @@
     return body;
 }
 
-bool permit_bidder::change_due(const pool_state& state, const demand& work, base::time_point now) const {
-    if (!state.touched) {
-        return false;
+base::duration permit_bidder::repetition() const {
+    std::size_t pairs = 0;
+    for (const base::pool_id& pool : active_) {
+        const auto found = pools_.find(pool);
+        pairs += found == pools_.end() ? 0 : std::min(found->second.order.size(), options_.bid_fanout + 1);
     }
-    if (work.waiting > 0 && !state.told_waiting) {
+    const auto spread = std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(static_cast<double>(pairs) / options_.bids_per_second));
+    return std::clamp(spread, options_.bid_interval, options_.longest_bid_interval);
+}
+
+bool permit_bidder::bid_due(const owner_state& to, const demand& work, bool standing,
+                            base::time_point now) const {
+    const base::duration since = now - to.sent;
+    if (to.unconfirmed && since >= options_.take_up_limit / 2) {
         return true;
     }
-    if (now - state.changed_sent < options_.bid_change_interval) {
-        return false;
+    if (work.waiting == 0) {
+        return (to.told_waiting && since >= options_.bid_change_interval) ||
+               ((!to.held.empty() || to.list_due) && since >= repetition());
+    }
+    if (to.told_waiting) {
+        const base::normalised_cost key = key_at(work.keys, 0);
+        const bool exhausted = to.granted >= to.told_count;
+        const bool more = work.waiting > to.told_count && to.told_count < options_.few_waiting;
+        const bool lower = key < to.told_key - work.step * options_.key_drop;
+        const bool higher = key > to.told_key + work.step * options_.key_rise;
+        if (exhausted || (standing && (more || lower || (higher && since >= options_.bid_raise_interval)))) {
+            return true;
+        }
+    } else if (standing) {
+        return true;
     }
-    return work.waiting != state.told_count || work.keys != state.told_keys;
+    return (standing || !to.held.empty() || to.list_due) && since >= repetition();
 }
 
 void permit_bidder::collect_pool(const base::pool_id& pool, pool_state& state, const demand& work,
                                  base::time_point now, std::vector<outgoing>& messages) {
-    const bool changed = change_due(state, work, now);
-    if (changed) {
-        state.changed_sent = now;
-        state.told_waiting = work.waiting > 0;
-        state.told_count = work.waiting;
-        state.told_keys = work.keys;
-        state.touched = false;
-    }
+    state.touched = false;
     if (now - state.rotated >= options_.bid_interval) {
         state.rotated = now;
         ++state.rotation;
@@ -499,14 +545,15 @@
         owner_state& to = state.owners.at(state.order[i]);
         const bool standing = i < options_.bid_fanout ||
                               i - options_.bid_fanout == state.rotation % std::max<std::size_t>(rest, 1);
-        const bool wanted = work.waiting > 0 ? standing : to.told_waiting;
-        const bool refresh = now - to.sent >= options_.bid_interval && (wanted || !to.held.empty());
-        const bool confirm = to.unconfirmed && now - to.sent >= options_.bid_change_interval;
-        if ((changed && wanted) || refresh || confirm) {
+        if (bid_due(to, work, standing, now)) {
             messages.push_back(outgoing{state.order[i], make_bid(pool, to, work)});
             to.sent = now;
             to.told_waiting = work.waiting > 0;
+            to.told_count = work.waiting;
+            to.told_key = key_at(work.keys, 0);
+            to.granted = 0;
             to.unconfirmed = false;
+            to.list_due = false;
         }
     }
 }
@@ -520,12 +567,18 @@
             continue;
         }
         pool_state& state = found->second;
+        if (!state.touched && now - state.checked < options_.check_interval) {
+            ++position;
+            continue;
+        }
+        state.checked = now;
         const demand work = current(*position);
         collect_pool(*position, state, work, now, messages);
-        const bool busy = work.waiting > 0 || state.touched ||
-                          std::any_of(state.owners.begin(), state.owners.end(), [](const auto& item) {
-                              return item.second.told_waiting || !item.second.held.empty();
-                          });
+        const bool busy =
+            work.waiting > 0 || state.touched ||
+            std::any_of(state.owners.begin(), state.owners.end(), [](const auto& item) {
+                return item.second.told_waiting || item.second.list_due || !item.second.held.empty();
+            });
         position = busy ? std::next(position) : active_.erase(position);
     }
     return messages;
--- a/src/decision/permit.h
+++ b/src/decision/permit.h
@@ -21,16 +21,33 @@
 namespace bluebell::decision {
 
 struct permit_options {
-    /// A grant that the bidder has not listed as held after this time returns to the owner.
+    /// A grant that the bidder has not listed as held after this time is sent again, as a question; after
+    /// `question_limit` unanswered ones it returns to the owner.
     base::duration take_up_limit = std::chrono::milliseconds(250);
+    int question_limit = 4;
+    /// The same for a grant that was listed before. Longer than `longest_bid_interval`.
+    base::duration listed_limit = std::chrono::seconds(3);
     /// How long a new owner listens to bids before it grants.
     base::duration learning = std::chrono::milliseconds(200);
-    /// Standing bids and lists of held grants are repeated at this interval.
-    base::duration bid_interval = std::chrono::milliseconds(200);
-    /// Shortest time between bids that only change a key.
+    /// Standing bids and lists of held grants are repeated at this interval, or so seldom that the
+    /// repetitions of all pools to all their owners stay below `bids_per_second`.
+    base::duration bid_interval = std::chrono::milliseconds(500);
+    base::duration longest_bid_interval = std::chrono::seconds(2);
+    double bids_per_second = 24;
+    /// Shortest time between bids of a pool to an owner that tell of a risen key.
+    base::duration bid_raise_interval = std::chrono::milliseconds(100);
+    /// Differences of a key that are told before the next repetition, in requests of the default cost at
+    /// weight one.
+    double key_drop = 0.25;
+    double key_rise = 1.0;
+    /// Shortest time between bids of a pool that tell of less work or confirm a grant. Bids that tell of new
+    /// or more urgent work are not held back.
     base::duration bid_change_interval = std::chrono::milliseconds(20);
+    /// Up to this many waiting requests each further one is told at once; an owner rarely grants more between
+    /// two repetitions.
+    std::size_t few_waiting = 4;
     /// A bid that was not repeated for this time is dropped.
-    base::duration bid_lifetime = std::chrono::seconds(1);
+    base::duration bid_lifetime = std::chrono::seconds(5);
     /// An upstream that a bidder handed back unused is not offered to it again for this time.
     base::duration unused_hold = std::chrono::milliseconds(100);
     /// Ended grants are remembered for this time, so that a late message does not revive them.
@@ -39,6 +56,14 @@
     base::duration load_lifetime = std::chrono::seconds(3);
     /// Owners that get every bid of a pool; one more rotates.
     std::size_t bid_fanout = 8;
+    /// A slot is used again without its owner while the own key is lower than those of the other bids by this
+    /// much, in requests of the pool's default cost at weight one; and so many times and so long at most.
+    double reuse_slack = 2.0;
+    std::size_t reuse_limit = 16;
+    /// Keys of other bids that came with a grant count for this time.
+    base::duration reuse_fresh = std::chrono::milliseconds(300);
+    /// A pool whose demand was not touched is checked for due bids at this interval.
+    base::duration check_interval = std::chrono::milliseconds(5);
     /// Keys in a bid after the first one.
     std::size_t next_keys = 3;
 };
@@ -65,6 +90,8 @@
     std::vector<base::normalised_cost> keys;
     /// Lowest normalised service among the waiting accounts.
     base::normalised_cost start_tag;
+    /// Default cost of the pool at weight one; differences of keys are judged by it.
+    base::normalised_cost step;
 };
 
 /// A slot given to a router.
@@ -75,6 +102,13 @@
     base::normalised_cost lowest_start_tag;
 };
 
+/// What a bidder knows of a grant that arrives.
+enum class grant_state {
+    taken, ///< new; the bidder holds it now
+    held,  ///< held already
+    ended, ///< used and given back
+};
+
 /// Owner side: the slots of the upstreams that this router owns.
 /// Thread safety: used by one thread.
 class permit_owner {
@@ -87,7 +121,7 @@
     /// In a partition only the visible part of the listed members competes for the slots.
     void set_visible(std::size_t visible, std::size_t listed);
     /// Returns the grants of a router and drops its bids.
-    void lose_member(const base::vm_id& member, base::time_point now);
+    void lose_member(const base::vm_id& member);
 
     void receive(const base::vm_id& from, base::incarnation life, const bid& body, base::time_point now);
     /// Frees the slot of a grant; unknown and repeated ones are ignored.
@@ -103,9 +137,14 @@
     /// Gives the next free slot of a pool to the lowest bid, if there are both. `local` is the own demand.
     [[nodiscard]] std::optional<decided_grant> next(const base::pool_id& pool, const demand& local,
                                                     const gate& may_start, base::time_point now);
-    /// Returns grants not taken up and drops old bids. Returns the pools that have something to grant.
-    std::set<base::pool_id> tick(base::time_point now);
+    /// Asks for grants that were not listed, returns them when unanswered, and drops old bids. Appends the
+    /// questions to `questions`. Returns the pools that may have something to grant.
+    std::set<base::pool_id> tick(base::time_point now, std::vector<outgoing>& questions);
 
+    /// Lowest key that a router other than `beside` and this one bids for the pool.
+    [[nodiscard]] std::optional<base::normalised_cost> lowest_key(const base::pool_id& pool,
+                                                                  const base::vm_id& beside) const;
+    [[nodiscard]] bool serves(const base::pool_id& pool) const { return pools_.count(pool) > 0; }
     [[nodiscard]] bool owns(const base::upstream_id& id) const { return slots_.count(id) > 0; }
     [[nodiscard]] std::size_t outstanding() const { return grants_.size(); }
     [[nodiscard]] std::int32_t used(const base::upstream_id& id) const;
@@ -129,6 +168,9 @@
         base::vm_id holder;
         base::time_point issued{};
         bool confirmed = false;
+        /// When the holder listed it or was asked for it.
+        base::time_point checked{};
+        int questions = 0;
     };
     struct standing_bid {
         base::incarnation life;
@@ -152,7 +194,7 @@
                                             const base::upstream_id& id, base::time_point now) const;
     [[nodiscard]] bool held_back(const base::pool_id& pool, const base::vm_id& bidder,
                                  const base::upstream_id& id, base::time_point now) const;
-    void drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position, base::time_point now);
+    void drop(std::unordered_map<base::grant_id, outstanding_grant>::iterator position);
     void repair(const base::vm_id& from, const bid& body, base::time_point now);
     std::size_t count_pending(const base::vm_id& from, const base::pool_id& pool) const;
 
@@ -183,8 +225,8 @@
                     const std::map<base::upstream_id, base::vm_id>& owners);
     [[nodiscard]] const base::vm_id& owner_of(const base::upstream_id& upstream) const;
 
-    /// Takes a grant. Returns false if it is a repeated one that is held or ended.
-    bool hold(const base::vm_id& from, const grant& what);
+    /// Takes a grant unless it is known. A known one is confirmed with the next bid.
+    grant_state hold(const base::vm_id& from, const grant& what);
     /// Ends a grant. Returns the current owner of the upstream, to which the release goes; empty if the
     /// upstream is gone or the grant is unknown.
     base::vm_id drop(base::grant_id id, base::time_point now);
@@ -211,6 +253,12 @@
         bool told_waiting = false;
         /// A grant arrived that the owner has not seen in a list yet.
         bool unconfirmed = false;
+        /// A grant ended; one more list repairs a lost release.
+        bool list_due = false;
+        /// Requests and lowest key told in the last bid, and grants that came since.
+        std::size_t told_count = 0;
+        base::normalised_cost told_key;
+        std::size_t granted = 0;
         std::set<base::grant_id> held;
     };
     struct pool_state {
@@ -219,17 +267,16 @@
         std::map<base::vm_id, owner_state> owners;
         std::size_t rotation = 0;
         base::time_point rotated{};
-        base::time_point changed_sent{};
         bool touched = false;
-        bool told_waiting = false;
-        std::size_t told_count = 0;
-        std::vector<base::normalised_cost> told_keys;
+        base::time_point checked{};
     };
 
     [[nodiscard]] bid make_bid(const base::pool_id& pool, const owner_state& to, const demand& work);
     void collect_pool(const base::pool_id& pool, pool_state& state, const demand& work, base::time_point now,
                       std::vector<outgoing>& messages);
-    [[nodiscard]] bool change_due(const pool_state& state, const demand& work, base::time_point now) const;
+    [[nodiscard]] bool bid_due(const owner_state& to, const demand& work, bool standing,
+                               base::time_point now) const;
+    [[nodiscard]] base::duration repetition() const;
 
     base::vm_id self_;
     permit_options options_;
