Tell whether a request reached an upstream

Cause: a retry that is refused later must not be reported as not_run. Change: answer_stream::reached_upstream. Measurement: recovery_test passes as before. Conclusion: the caller of the module can name the right outcome.

--- a/src/decision/stream.h
+++ b/src/decision/stream.h
@@ -34,6 +34,9 @@
     /// Upstreams that failed this request; a retry avoids them.
     [[nodiscard]] const std::vector<base::upstream_id>& failed_on() const { return failed_on_; }
 
+    /// An upstream had the request in some attempt, so it may have run.
+    [[nodiscard]] bool reached_upstream() const { return reached_upstream_; }
+
     /// Whether a report on the attempt `number` is of the one that runs now. Reports of earlier attempts are
     /// ignored, so that late output is never counted for a later attempt.
     [[nodiscard]] bool is_current(base::attempt_number number) const { return running_ && number == number_; }
@@ -53,7 +56,6 @@
     base::upstream_id target_;
     base::byte_count delivered_;
     std::vector<base::upstream_id> failed_on_;
-    /// An upstream had the request in some attempt, so it may have run.
     bool reached_upstream_ = false;
 };
 
