--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -20,19 +20,30 @@
 struct member_update {
     base::vm_id vm;
     base::incarnation life;
+    /// Grows each time the member refutes a suspicion within one life.
+    std::uint32_t refutation = 0;
     liveness state = liveness::alive;
+    /// The member is about to stop and takes no new ownership.
+    bool leaving = false;
+    /// Empty in an update that only tells the revision.
     endpoint address;
     /// Highest revision that the member is known to have in force.
     base::revision in_force;
 };
 
+/// Probe. A nonce of zero asks for no acknowledgement.
 struct ping {
     std::uint64_t nonce = 0;
+    /// Hash of the sender's live members; differs when the tables of sender and receiver differ.
+    std::uint64_t digest = 0;
+    /// Asks for the whole member table.
+    bool want_table = false;
     std::vector<member_update> updates;
 };
 
 struct ack {
     std::uint64_t nonce = 0;
+    std::uint64_t digest = 0;
     std::vector<member_update> updates;
 };
 
