Add tests of the member table under faults

Cause: membership decides ownership, so its behaviour under faults has to be shown. Change: tests/network.h joins member tables by manual time with delay, loss, duplication, partitions, cut links, pauses and restarts from a fixed seed; member_test states a limit for each property. Conclusion: live reachable members are not dropped for good, and all agree within 10 periods up to 50 members.

--- /dev/null
+++ b/tests/member_test.cpp
@@ -0,0 +1,293 @@
+#include "decision/member.h"
+#include "tests/network.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace bluebell;
+using namespace std::chrono_literals;
+using decision::member_change_kind;
+using tests::member_network;
+
+namespace {
+
+constexpr std::size_t small_fleet = 9;
+constexpr std::size_t design_fleet = 350;
+constexpr base::duration period = 500ms;
+
+member_network started(std::size_t count, std::uint64_t seed) {
+    member_network fleet(count, seed);
+    fleet.start_all();
+    fleet.run_until(30s, [&] { return fleet.agreed(); });
+    fleet.run(5s);
+    for (member_network::node& node : fleet.nodes()) {
+        node.changes.clear();
+    }
+    return fleet;
+}
+
+std::size_t count_changes(member_network& fleet, member_change_kind kind) {
+    std::size_t count = 0;
+    for (const member_network::node& node : fleet.nodes()) {
+        for (const decision::member_change& change : node.changes) {
+            count += change.kind == kind ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+std::set<std::size_t> first(std::size_t count) {
+    std::set<std::size_t> indices;
+    for (std::size_t i = 0; i < count; ++i) {
+        indices.insert(i);
+    }
+    return indices;
+}
+
+bool suspects(const member_network::node& node) {
+    const std::vector<decision::member_info> all = node.table->members();
+    return std::any_of(all.begin(), all.end(),
+                       [](const auto& info) { return info.state == decision::liveness::suspect; });
+}
+
+bool owned_by(const member_network::node& node, const base::vm_id& vm) {
+    const std::vector<base::vm_id>& owners = node.table->owners();
+    return std::find(owners.begin(), owners.end(), vm) != owners.end();
+}
+
+bool all_in_force(member_network& fleet, base::revision rev) {
+    return std::all_of(fleet.nodes().begin(), fleet.nodes().end(),
+                       [&](const auto& node) { return node.table->in_force() == rev; });
+}
+
+bool all_known_in_force(member_network& fleet, base::revision rev) {
+    for (const member_network::node& node : fleet.nodes()) {
+        for (const decision::member_info& info : node.table->members()) {
+            if (info.in_force != rev) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a dead router does not keep its ownership beyond probe, suspicion and spreading") {
+    for (const std::size_t count : {small_fleet, std::size_t{50}}) {
+        member_network fleet = started(count, 11);
+        fleet.kill(2);
+        const base::duration limit = count <= 16 ? 2 * period + 2100ms : 5s;
+        CHECK(fleet.run_until(10s, [&] { return fleet.agreed(); }) <= limit);
+        CHECK(count_changes(fleet, member_change_kind::left) == count - 1);
+    }
+}
+
+TEST_CASE("a restarted router is not waited for: peers hear its new life at once") {
+    member_network fleet = started(small_fleet, 12);
+    fleet.kill(2);
+    fleet.run(300ms);
+    fleet.start(2);
+    fleet.run(100ms);
+    CHECK(fleet.agreed());
+    CHECK(count_changes(fleet, member_change_kind::restarted) == small_fleet - 1);
+    CHECK(count_changes(fleet, member_change_kind::left) == 0);
+}
+
+TEST_CASE("a restart with an incarnation from a clock that was set back does not shut the router out") {
+    member_network fleet = started(small_fleet, 13);
+    const base::incarnation before = fleet.at(2).table->life();
+    fleet.kill(2);
+    fleet.restart_as(2, before - base::incarnation(1000));
+    fleet.run(100ms);
+    CHECK(fleet.agreed());
+    CHECK(fleet.at(2).table->life() > before);
+}
+
+TEST_CASE("loss and duplication do not drop a live router") {
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        member_network fleet = started(small_fleet, seed);
+        fleet.network().loss = 0.1;
+        fleet.network().duplication = 0.1;
+        fleet.run(60s);
+        CHECK(count_changes(fleet, member_change_kind::left) == 0);
+        CHECK(fleet.agreed());
+    }
+}
+
+TEST_CASE("heavy loss drops no live router for good") {
+    member_network fleet = started(small_fleet, 14);
+    fleet.network().loss = 0.6;
+    fleet.run(60s);
+    fleet.network().loss = 0.0;
+    CHECK(fleet.run_until(30s, [&] { return fleet.agreed(); }) <= 10 * period);
+}
+
+TEST_CASE("a link that is cut between two routers does not get either suspected") {
+    // Both reach the seven others, which probe on their behalf.
+    member_network fleet = started(small_fleet, 15);
+    fleet.cut(0, 1);
+    const auto suspected = [&] { return std::any_of(fleet.nodes().begin(), fleet.nodes().end(), suspects); };
+    CHECK(fleet.run_until(30s, suspected) == 30s);
+}
+
+TEST_CASE("partitions that heal leave no side without the other") {
+    for (const std::size_t count : {std::size_t{2}, small_fleet, std::size_t{50}}) {
+        member_network fleet = started(count, 16);
+        fleet.partition(first(count / 2));
+        fleet.run(20s);
+        CHECK(fleet.at(0).table->live().size() == count / 2);
+        CHECK(fleet.at(0).table->known_count() == count);
+        fleet.heal();
+        CHECK(fleet.run_until(30s, [&] { return fleet.agreed(); }) <= 10 * period);
+    }
+}
+
+TEST_CASE("a paused router refutes its own death and blames no peer for its pause") {
+    member_network fleet = started(small_fleet, 17);
+    fleet.network().one_way = 240ms; // probes are open for most of a period
+    fleet.run(1s);
+    fleet.pause(4);
+    fleet.run(10s);
+    CHECK_FALSE(fleet.at(0).table->is_live(fleet.at(4).entry.vm));
+    fleet.resume(4);
+    CHECK_FALSE(suspects(fleet.at(4)));
+    fleet.run(3 * period);
+    CHECK(fleet.agreed());
+    CHECK(fleet.at(4).changes.empty());
+}
+
+TEST_CASE("datagrams that waited in the socket of a paused router do not look fresh") {
+    member_network fleet = started(small_fleet, 18);
+    const decision::member& table = *fleet.at(4).table;
+    fleet.network().one_way = 240ms; // answers to open probes wait in the socket
+    fleet.run(1s);
+    fleet.pause(4);
+    const base::time_point paused = fleet.now();
+    fleet.run(10s);
+    for (const decision::envelope& what : std::exchange(fleet.at(4).unread, {})) {
+        static_cast<void>(fleet.at(4).table->receive(what, fleet.now()));
+    }
+    CHECK(table.peer_heard().value() <= paused);
+    CHECK(table.peer_confirmed().value() <= paused - 1s); // every header says an age of 1 s
+}
+
+TEST_CASE("a VM list that lags neither hides a new router nor keeps or drops one") {
+    member_network fleet(small_fleet, 19);
+    fleet.show_list({8});
+    for (std::size_t i = 0; i < 8; ++i) {
+        fleet.start(i);
+    }
+    fleet.run(2s);
+    fleet.show_list({});
+    fleet.start(8); // sees the others, which do not see it in their list
+    fleet.show_list({8, 3});
+    fleet.run(2 * period);
+    CHECK(fleet.agreed());
+    fleet.run(90s);
+    CHECK(fleet.agreed()); // 3 is missing from the list and alive
+    fleet.show_list({});
+    fleet.kill(8);
+    fleet.run(4s);
+    CHECK(fleet.agreed()); // 8 is listed and dead
+    fleet.show_list({8});
+    fleet.run(61s);
+    CHECK(fleet.at(0).table->members().size() == small_fleet - 1);
+}
+
+TEST_CASE("a leaving VM gets no ownership and departs without suspicion time") {
+    member_network fleet = started(small_fleet, 20);
+    const base::vm_id leaving = fleet.at(1).entry.vm;
+    const base::vm_id listed = fleet.at(5).entry.vm;
+    fleet.at(1).table->announce_leaving(fleet.now());
+    fleet.flush(1);
+    fleet.at(5).entry.leaving = true;
+    fleet.show_list({});
+    fleet.run(100ms);
+    for (const member_network::node& node : fleet.nodes()) {
+        CHECK_FALSE(owned_by(node, leaving));
+        CHECK((!owned_by(node, listed) || node.entry.vm == listed));
+        CHECK(node.table->is_live(leaving));
+    }
+    fleet.at(1).table->depart(fleet.now());
+    fleet.flush(1);
+    fleet.run(100ms);
+    CHECK_FALSE(fleet.at(0).table->is_live(leaving));
+}
+
+TEST_CASE("messages of strangers, of earlier lives and of dead routers are refused by type") {
+    member_network fleet = started(3, 21);
+    decision::member& table = *fleet.at(0).table;
+    decision::envelope what;
+    what.body = decision::release{};
+    what.header.sender = base::vm_id("vm-9999");
+    CHECK(table.receive(what, fleet.now()).error().code == base::error_code::message_unknown_sender);
+    what.header.sender = fleet.at(1).entry.vm;
+    what.header.life = fleet.at(1).table->life();
+    CHECK(table.receive(what, fleet.now()));
+    what.header.life = base::incarnation(1);
+    CHECK(table.receive(what, fleet.now()).error().code == base::error_code::message_stale_incarnation);
+    what.header.life = fleet.at(1).table->life();
+    what.header.life = fleet.at(1).table->life() + base::incarnation(1);
+    CHECK(table.receive(what, fleet.now())); // a restart is noticed on any kind of message
+    CHECK(table.take_changes().at(0).kind == member_change_kind::restarted);
+    fleet.kill(1);
+    fleet.run(4s);
+    CHECK(table.receive(what, fleet.now()).error().code == base::error_code::message_unknown_sender);
+}
+
+TEST_CASE("a table that stays different from its peers' is repaired") {
+    member_network fleet = started(3, 24);
+    decision::member& table = *fleet.at(0).table;
+    decision::envelope what;
+    what.header.sender = fleet.at(1).entry.vm;
+    what.header.life = fleet.at(1).table->life();
+    decision::ping body;
+    body.digest = 1;
+    what.body = body;
+    for (int i = 0; i < 4; ++i) {
+        CHECK(table.receive(what, fleet.now()));
+    }
+    const std::vector<decision::outgoing> asked = table.take_outgoing();
+    REQUIRE(asked.size() == 1);
+    CHECK(std::get<decision::ping>(asked.at(0).body).want_table);
+    decision::ping request;
+    request.want_table = true;
+    what.body = request;
+    CHECK(table.receive(what, fleet.now()));
+    CHECK(std::get<decision::ping>(table.take_outgoing().at(0).body).updates.size() == 3);
+}
+
+TEST_CASE("a revision does not miss a router and status does not miss an acknowledgement") {
+    member_network fleet = started(small_fleet, 22);
+    fleet.network().loss = 0.2;
+    fleet.at(0).table->put_in_force(base::revision(7), fleet.now());
+    fleet.flush(0);
+    CHECK(fleet.run_until(10s, [&] { return all_in_force(fleet, base::revision(7)); }) < 2s);
+    CHECK(fleet.run_until(10s, [&] { return all_known_in_force(fleet, base::revision(7)); }) < 3s);
+}
+
+TEST_CASE("350 routers stay within the limits for a revision, for detection and for traffic") {
+    member_network fleet = started(design_fleet, 23);
+    fleet.network().loss = 0.02;
+    fleet.network().fetch = 500ms;
+    fleet.run(20s);
+    fleet.count_bytes(true);
+    const base::time_point start = fleet.now();
+    for (member_network::node& node : fleet.nodes()) {
+        node.sent = {};
+    }
+    fleet.at(0).table->put_in_force(base::revision(7), fleet.now());
+    fleet.flush(0);
+    CHECK(fleet.run_until(10s, [&] { return all_in_force(fleet, base::revision(7)); }) <= 5s);
+    CHECK(fleet.run_until(10s, [&] { return all_known_in_force(fleet, base::revision(7)); }) <= 5s);
+    fleet.kill(5);
+    CHECK(fleet.run_until(10s, [&] { return fleet.agreed(); }) <= 7s);
+    fleet.run(2s);
+    const double seconds = std::chrono::duration<double>(fleet.now() - start).count();
+    std::uint64_t most = 0;
+    for (const member_network::node& node : fleet.nodes()) {
+        most = std::max(most, node.sent.bytes);
+    }
+    CHECK(static_cast<double>(most) / seconds < 2000.0);
+}
