--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -410,6 +410,7 @@
     put(out, body.account);
     put(out, body.key);
     put(out, body.start_tag);
+    put_list(out, body.next_keys, [&out](const base::normalised_cost& key) { put(out, key); });
     put_enum(out, body.priority);
     put(out, std::uint64_t{body.waiting});
     put(out, body.sequence);
@@ -427,6 +428,7 @@
     take(in, body.account);
     take(in, body.key);
     take(in, body.start_tag);
+    take_list(in, body.next_keys, max_list, [&in](base::normalised_cost& key) { take(in, key); });
     take_enum(in, body.priority, decision::request_class::patient);
     body.waiting = take_bounded<std::uint32_t>(in);
     take(in, body.sequence);
@@ -462,54 +464,77 @@
 
 void put(output& out, const decision::release& body) {
     put_grant(out, body);
+    put(out, body.unused);
 }
 
 void take(input& in, decision::release& body) {
     take_grant(in, body);
+    take(in, body.unused);
+}
+
+void put_rest(output& out, const decision::usage_entry& entry) {
+    put(out, entry.own_total);
+    put(out, entry.known_total);
+    put(out, entry.known_part);
+    put(out, entry.backlogged);
+}
+
+void take_rest(input& in, decision::usage_entry& entry) {
+    take(in, entry.own_total);
+    take(in, entry.known_total);
+    take(in, entry.known_part);
+    take(in, entry.backlogged);
+}
+
+void put_rest(output& out, const decision::usage_total_entry& entry) {
+    put(out, entry.fleet_total);
+    put(out, entry.receiver_part);
+    put(out, entry.receiver_backlogged);
+    put(out, entry.others_backlogged);
+}
+
+void take_rest(input& in, decision::usage_total_entry& entry) {
+    take(in, entry.fleet_total);
+    take(in, entry.receiver_part);
+    take(in, entry.receiver_backlogged);
+    take(in, entry.others_backlogged);
 }
 
 template <typename Entry>
-void put_usage(output& out, const std::vector<Entry>& entries, base::cost Entry::*first,
-               base::cost Entry::*second) {
+void put_usage(output& out, const std::vector<Entry>& entries) {
     const name_table<base::pool_id> names(entries, &Entry::pool);
     names.write(out);
     put_list(out, entries, [&](const Entry& entry) {
         names.write_index(out, entry.pool);
         put(out, entry.account);
-        put(out, entry.*first);
-        put(out, entry.*second);
+        put_rest(out, entry);
     });
 }
 
 template <typename Entry>
-void take_usage(input& in, std::vector<Entry>& entries, base::cost Entry::*first, base::cost Entry::*second) {
+void take_usage(input& in, std::vector<Entry>& entries) {
     const name_table<base::pool_id> names(in);
     take_list(in, entries, max_list, [&](Entry& entry) {
         names.read_index(in, entry.pool);
         take(in, entry.account);
-        take(in, entry.*first);
-        take(in, entry.*second);
+        take_rest(in, entry);
     });
 }
 
 void put(output& out, const decision::usage& body) {
-    using entry = decision::usage_entry;
-    put_usage(out, body.entries, &entry::own_total, &entry::known_total);
+    put_usage(out, body.entries);
 }
 
 void take(input& in, decision::usage& body) {
-    using entry = decision::usage_entry;
-    take_usage(in, body.entries, &entry::own_total, &entry::known_total);
+    take_usage(in, body.entries);
 }
 
 void put(output& out, const decision::usage_total& body) {
-    using entry = decision::usage_total_entry;
-    put_usage(out, body.entries, &entry::fleet_total, &entry::receiver_part);
+    put_usage(out, body.entries);
 }
 
 void take(input& in, decision::usage_total& body) {
-    using entry = decision::usage_total_entry;
-    take_usage(in, body.entries, &entry::fleet_total, &entry::receiver_part);
+    take_usage(in, body.entries);
 }
 
 void put(output& out, const decision::claim& body) {
@@ -535,7 +560,7 @@
     take(in, body.partition);
     take(in, body.key);
     take(in, body.attempt);
-    take_enum(in, body.answer, decision::claim_answer::unavailable);
+    take_enum(in, body.answer, decision::claim_answer::withdrawn);
 }
 
 void put(output& out, const decision::settle& body) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -51,6 +51,7 @@
     bid.account = account;
     bid.key = base::normalised_cost(-1.25);
     bid.start_tag = base::normalised_cost(7.5);
+    bid.next_keys = {base::normalised_cost(8.0), base::normalised_cost(9.0)};
     bid.priority = decision::request_class::patient;
     bid.waiting = 70'000;
     bid.held = {{base::grant_id(1), upstream}, {base::grant_id(~0ULL), base::upstream_id("worker-13")}};
@@ -60,11 +61,13 @@
             decision::ping_request{77, base::vm_id("vm-3")},
             bid,
             decision::grant{base::grant_id(5), pool, upstream},
-            decision::release{base::grant_id(5), pool, upstream},
-            decision::usage{{{pool, account, base::cost(10.5), base::cost(99.0)}}},
-            decision::usage_total{{{pool, account, base::cost(99.0), base::cost(10.5)}}},
+            decision::release{base::grant_id(5), pool, upstream, true},
+            decision::usage{{{pool, account, base::normalised_cost(10.5), base::normalised_cost(99.0),
+                              base::normalised_cost(8.5), true}}},
+            decision::usage_total{
+                {{pool, account, base::normalised_cost(99.0), base::normalised_cost(10.5), false, true}}},
             decision::claim{partition, key, attempt},
-            decision::claim_result{partition, key, attempt, decision::claim_answer::already_ran},
+            decision::claim_result{partition, key, attempt, decision::claim_answer::withdrawn},
             decision::settle{partition, key, attempt, decision::settlement::not_run},
             decision::settle_ack{key, attempt},
             decision::crash_report{base::fingerprint(~0ULL), upstream}};
@@ -75,7 +78,7 @@
         return body.priority <= decision::request_class::patient;
     }
     bool operator()(const decision::claim_result& body) const {
-        return body.answer <= decision::claim_answer::unavailable;
+        return body.answer <= decision::claim_answer::withdrawn;
     }
     bool operator()(const decision::settle& body) const {
         return body.result <= decision::settlement::not_run;
@@ -108,11 +111,22 @@
     const auto& body = std::get<decision::bid>(bid.body);
     CHECK(body.key == base::normalised_cost(-1.25));
     CHECK(body.start_tag == base::normalised_cost(7.5));
+    CHECK(body.next_keys.at(1) == base::normalised_cost(9.0));
     CHECK(body.waiting == 70'000);
     CHECK(body.held.at(1).upstream == base::upstream_id("worker-13"));
     CHECK(body.held.at(1).id == base::grant_id(~0ULL));
     CHECK(bid.header.confirmation_age == 1500ms);
     CHECK(bid.header.virtual_times.at(0).virtual_time == base::normalised_cost(1.5e9));
+    const auto used = codec.decode(encoded(codec, envelope(samples()[6]))).value();
+    const decision::usage_entry entry = std::get<decision::usage>(used.body).entries.at(0);
+    CHECK(entry.known_part == base::normalised_cost(8.5));
+    CHECK(entry.backlogged);
+    const auto total = codec.decode(encoded(codec, envelope(samples()[7]))).value();
+    CHECK(std::get<decision::usage_total>(total.body).entries.at(0).others_backlogged);
+    const auto release = codec.decode(encoded(codec, envelope(samples()[5]))).value();
+    CHECK(std::get<decision::release>(release.body).unused);
+    const auto result = codec.decode(encoded(codec, envelope(samples()[9]))).value();
+    CHECK(std::get<decision::claim_result>(result.body).answer == decision::claim_answer::withdrawn);
     const auto ping = codec.decode(encoded(codec, envelope(samples()[0]))).value();
     const decision::member_update second = std::get<decision::ping>(ping.body).updates.at(1);
     CHECK(second.address == update(2).address);
@@ -155,7 +169,7 @@
 TEST_CASE("lengths beyond the bounds are refused though the bytes are there") {
     const fleet::codec codec(fleet_name);
     const std::string longest(128, 'x');
-    const decision::release body{{}, base::pool_id(longest), base::upstream_id(longest)};
+    const decision::grant body{{}, base::pool_id(longest), base::upstream_id(longest)};
     decision::envelope what = envelope(body);
     what.header.virtual_times.clear();
     std::string names = encoded(codec, what);
@@ -190,7 +204,8 @@
     decision::ping ping{5, 0, true, {}, {}};
     decision::bid bid;
     for (unsigned i = 0; i < 1000; ++i) {
-        usage.entries.push_back({base::pool_id("p"), base::client_account_id(std::to_string(i)), {}, {}});
+        usage.entries.push_back(
+            {base::pool_id("p"), base::client_account_id(std::to_string(i)), {}, {}, {}, false});
         ping.updates.push_back(update(i));
         bid.held.push_back({base::grant_id(i), base::upstream_id("worker-" + std::to_string(i % 7))});
     }
@@ -234,7 +249,7 @@
     }
     const std::string longest(128, 'x');
     good.push_back(
-        encoded(codec, envelope(decision::release{{}, base::pool_id(longest), base::upstream_id(longest)})));
+        encoded(codec, envelope(decision::grant{{}, base::pool_id(longest), base::upstream_id(longest)})));
     decision::envelope full = envelope(samples()[0]);
     full.header.virtual_times.assign(16, {base::pool_id(""), base::normalised_cost(1.0)});
     good.push_back(encoded(codec, full));
