Add the workers that read releases and the VM list

Cause: the decider needs the release in force and the VM list without waiting for the platform itself.

Change: release_worker reads the head twice at start, watches it in slices of 500 ms if it is a watcher, polls it every 30 s otherwise, fetches on command from the store or, when that fails, from a peer, and renders GET /config. vms_worker polls the VM list every 2 s. Both spread their calls by a seed. Within 10 s of a failure of the store a peer is asked first. A watch that a lagging replica answers early is not repeated at once.

Conclusion: ready to be placed under the platform supervisor.

--- /dev/null
+++ b/src/platform/release.cpp
@@ -0,0 +1,204 @@
+#include "platform/release.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell::platform {
+namespace {
+
+using base::error_code;
+
+constexpr base::duration push_limit = std::chrono::seconds(1);
+constexpr double poll_spread = 0.2;
+constexpr double retry_spread = 0.5;
+
+} // namespace
+
+base::result<std::string> http_config_peer::fetch(const decision::endpoint& admin) {
+    http_connection connection(admin, limits_);
+    const base::result<http_answer> answer = connection.fetch("/config", "");
+    if (!answer) {
+        return tl::unexpected<base::error>(answer.error());
+    }
+    if (answer->status != 200) {
+        return base::failure(error_code::store_unavailable, to_string(admin) + "/config",
+                             "the router answered with status " + std::to_string(answer->status));
+    }
+    return answer->body;
+}
+
+release_worker::release_worker(std::unique_ptr<object_store> store, std::unique_ptr<config_peer> peer,
+                               base::ring<decision::release_command>& commands,
+                               base::ring<decision::event>& events, const base::clock& time,
+                               std::uint64_t seed, release_timing timing)
+    : store_(std::move(store)), peer_(std::move(peer)), commands_(commands), events_(events), clock_(time),
+      random_(seed), timing_(timing) {}
+
+void release_worker::run(base::stop_signal& stop) {
+    if (commands_.closed()) {
+        commands_.reopen();
+    }
+    image_.reset();
+    version_ = base::object_version(0);
+    failed_at_.reset();
+    reads_ = 0;
+    next_watch_ = clock_.now();
+    // `interrupt` may have closed the ring before it was opened again, so the signal is checked after it.
+    if (stop.requested()) {
+        return;
+    }
+    read_store();
+    while (!stop.requested()) {
+        const base::time_point now = clock_.now();
+        const bool watch = can_watch();
+        const base::time_point wake = watch ? next_watch_ : next_read_;
+        const std::optional<decision::release_command> command =
+            commands_.pop(std::max(base::duration::zero(), wake - now));
+        if (stop.requested()) {
+            return;
+        }
+        if (command) {
+            std::visit([this](const auto& what) { handle(what); }, *command);
+        } else if (watch) {
+            watch_store();
+        } else {
+            read_store();
+        }
+    }
+}
+
+bool release_worker::can_watch() const {
+    return watcher_ && image_ && reads_ > 1 && !failed_at_;
+}
+
+void release_worker::handle(const decision::fetch_release& command) {
+    // Right after a failure the store would most likely cost a whole time limit.
+    const bool peer_first = failed_at_ && clock_.now() - *failed_at_ < timing_.distrust;
+    if (peer_first && command.peer && known() < command.at_least) {
+        ask_peer(*command.peer);
+        if (known() >= command.at_least) {
+            return;
+        }
+    }
+    read_store();
+    if (!peer_first && command.peer && known() < command.at_least) {
+        ask_peer(*command.peer);
+    }
+}
+
+void release_worker::handle(const decision::config_requested& command) {
+    command.reply->try_push(image_ ? render_config(*image_) : std::string());
+}
+
+void release_worker::read_store() {
+    const base::time_point read_at = clock_.now();
+    take_head(store_->read(head_name()), read_at);
+}
+
+void release_worker::watch_store() {
+    const base::time_point read_at = clock_.now();
+    const base::revision before = known();
+    take_head(store_->watch(head_name(), version_, timing_.watch_slice), read_at);
+    // A replica of the store that lags answers at once with an older version, again and again.
+    next_watch_ = known() > before ? clock_.now() : read_at + timing_.watch_slice;
+}
+
+void release_worker::take_head(const base::result<stored_object>& object, base::time_point read_at) {
+    if (!object && object.error().code != error_code::store_not_found) {
+        report_failure(object.error());
+        return;
+    }
+    const base::result<base::revision> seen = object ? take_object(*object) : base::revision(0);
+    if (!seen) {
+        report_failure(seen.error());
+        return;
+    }
+    failed_at_.reset();
+    const base::duration pause = reads_ == 0 ? timing_.second_read : jittered(timing_.poll, poll_spread);
+    ++reads_;
+    next_read_ = clock_.now() + pause;
+    report(*seen, decision::config_source::store, read_at);
+}
+
+base::result<base::revision> release_worker::take_object(const stored_object& object) {
+    if (image_ && object.version == version_) {
+        return known();
+    }
+    const base::result<release_head> head = decode_head(object.value);
+    if (!head) {
+        return tl::unexpected<base::error>(head.error());
+    }
+    if (head->rev > known()) {
+        store_chunks chunks(*store_);
+        base::result<std::shared_ptr<const config_image>> image =
+            load_image(object.value, image_.get(), chunks);
+        if (!image) {
+            return tl::unexpected<base::error>(image.error());
+        }
+        image_ = std::move(*image);
+        base::log_event(base::log_level::info, "release", "release_read",
+                        {{"revision", image_->head.rev.value()}, {"source", "store"}});
+    }
+    if (head->rev == known()) {
+        version_ = object.version;
+    }
+    return head->rev;
+}
+
+void release_worker::ask_peer(const decision::endpoint& admin) {
+    const base::time_point read_at = clock_.now();
+    const base::result<std::string> text = peer_->fetch(admin);
+    if (!text) {
+        base::log_event(base::log_level::warning, "release", "peer_failed",
+                        {{"peer", to_string(admin)}, {"cause", text.error().text}});
+        return;
+    }
+    base::result<std::shared_ptr<const config_image>> image = parse_config(*text, image_.get());
+    if (!image) {
+        base::log_event(base::log_level::warning, "release", "peer_config_refused",
+                        {{"peer", to_string(admin)},
+                         {"code", to_string(image.error().code)},
+                         {"cause", image.error().text}});
+        return;
+    }
+    const base::revision seen = (*image)->head.rev;
+    if (seen > known()) {
+        image_ = std::move(*image);
+        version_ = base::object_version(0);
+        base::log_event(base::log_level::info, "release", "release_read",
+                        {{"revision", seen.value()}, {"source", "peer"}});
+    }
+    report(seen, decision::config_source::peer, read_at);
+}
+
+void release_worker::report(base::revision rev, decision::config_source source, base::time_point read_at) {
+    push(decision::release_read{rev, image_ ? image_->config : nullptr, source, read_at});
+}
+
+void release_worker::report_failure(const base::error& cause) {
+    failed_at_ = clock_.now();
+    next_read_ = *failed_at_ + jittered(timing_.retry, retry_spread);
+    base::log_event(base::log_level::warning, "release", "store_failed",
+                    {{"code", to_string(cause.code)}, {"place", cause.place}, {"cause", cause.text}});
+    push(decision::store_failed{cause});
+}
+
+void release_worker::push(decision::event what) {
+    if (events_.push(std::move(what), push_limit) == base::push_result::full) {
+        // The next read brings the same again.
+        base::log_event(base::log_level::warning, "release", "event_dropped");
+    }
+}
+
+base::revision release_worker::known() const {
+    return image_ ? image_->head.rev : base::revision(0);
+}
+
+base::duration release_worker::jittered(base::duration mean, double spread) {
+    std::uniform_real_distribution<double> factor(1 - spread, 1 + spread);
+    return std::chrono::duration_cast<base::duration>(mean * factor(random_));
+}
+
+} // namespace bluebell::platform
--- /dev/null
+++ b/src/platform/vms.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/ring.h"
+#include "base/worker.h"
+#include "decision/event.h"
+#include "platform/store.h"
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace bluebell::platform {
+
+/// Polls the VM list of the platform and tells the decider. While the list cannot be read, the decider goes
+/// on with the last one.
+class vms_worker final : public base::worker {
+public:
+    /// `seed` spreads the reads of the routers. The ring outlives the worker.
+    vms_worker(std::unique_ptr<vm_list> list, base::ring<decision::event>& events, std::uint64_t seed,
+               base::duration interval = std::chrono::seconds(2));
+
+    [[nodiscard]] std::string name() const override { return "vms"; }
+    void run(base::stop_signal& stop) override;
+
+private:
+    void poll();
+
+    std::unique_ptr<vm_list> list_;
+    base::ring<decision::event>& events_;
+    std::mt19937_64 random_;
+    base::duration interval_;
+};
+
+} // namespace bluebell::platform
--- /dev/null
+++ b/tests/workers_test.cpp
@@ -0,0 +1,269 @@
+#include "base/supervisor.h"
+#include "platform/release.h"
+#include "platform/vms.h"
+#include "standin/objects.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+
+using namespace bluebell;
+using namespace bluebell::platform;
+using namespace std::chrono_literals;
+using base::revision;
+
+namespace {
+
+constexpr call_limits test_limits{200ms, 300ms};
+constexpr publish_limits no_pause{8, 0ms};
+
+class no_routers final : public acknowledgements {
+public:
+    base::result<std::vector<base::vm_id>> behind(revision /*rev*/) override {
+        return std::vector<base::vm_id>();
+    }
+};
+
+/// Answers with a fixed text.
+class fixed_peer final : public config_peer {
+public:
+    explicit fixed_peer(std::string text) : text_(std::move(text)) {}
+    base::result<std::string> fetch(const decision::endpoint& /*admin*/) override { return text_; }
+
+private:
+    std::string text_;
+};
+
+decision::endpoint at(std::uint16_t port) {
+    return {"127.0.0.1", port};
+}
+
+/// Publishes a note that adds one client account; returns the release.
+std::shared_ptr<const config_image> publish(std::uint16_t port, const std::string& account) {
+    http_object_store store(at(port), test_limits);
+    no_routers routers;
+    publisher writer(store, routers, no_pause);
+    decision::release_note note;
+    note.author = base::operator_id("ingrid");
+    decision::account_change item;
+    item.id = base::client_account_id(account);
+    note.accounts.push_back(item);
+    REQUIRE(writer.publish(note, base::change_id("c-" + account)));
+    return *writer.read();
+}
+
+/// A release worker on a thread of its own.
+struct running_worker {
+    explicit running_worker(std::unique_ptr<object_store> store, std::string peer_text = "",
+                            release_timing timing = release_timing())
+        : thread(std::make_unique<release_worker>(std::move(store),
+                                                  std::make_unique<fixed_peer>(std::move(peer_text)),
+                                                  commands, events, time, 1, timing)) {
+        thread.start([](const base::error& /*cause*/) {});
+    }
+
+    /// Waits for an event that fulfils the condition; checks on the way that configurations never go back.
+    bool await(const std::function<bool(const decision::event&)>& condition, base::duration limit = 5s) {
+        const base::time_point end = time.now() + limit;
+        while (time.now() < end) {
+            const std::optional<decision::event> next = events.pop(end - time.now());
+            if (!next) {
+                return false;
+            }
+            const auto* read = std::get_if<decision::release_read>(&*next);
+            if (read != nullptr && read->config) {
+                CHECK(read->config->rev >= highest);
+                highest = std::max(highest, read->config->rev);
+            }
+            if (condition(*next)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    bool await_release(std::uint64_t rev, decision::config_source source, base::duration limit = 5s) {
+        return await(
+            [&](const decision::event& what) {
+                const auto* read = std::get_if<decision::release_read>(&what);
+                return read != nullptr && read->rev == revision(rev) && read->source == source &&
+                       read->config && read->config->rev == revision(rev);
+            },
+            limit);
+    }
+
+    bool await_failure() {
+        return await(
+            [](const decision::event& what) { return std::holds_alternative<decision::store_failed>(what); });
+    }
+
+    void order(decision::release_command command) { commands.push(std::move(command), 1s); }
+
+    const base::steady_clock time;
+    base::ring<decision::release_command> commands{16};
+    base::ring<decision::event> events{64};
+    revision highest;
+    base::worker_child thread;
+};
+
+std::unique_ptr<object_store> http_store(std::uint16_t port) {
+    return std::make_unique<http_object_store>(at(port), test_limits);
+}
+
+/// A lagging replica: answers every watch at once with an older head.
+class lagging_store final : public object_store {
+public:
+    lagging_store(std::string head, std::string chunk, std::atomic<int>& watches)
+        : head_(std::move(head)), chunk_(std::move(chunk)), watches_(watches) {}
+
+    base::result<stored_object> read(const base::object_name& name) override {
+        return stored_object{name == head_name() ? head_ : chunk_, base::object_version(2)};
+    }
+    base::result<stored_object> watch(const base::object_name& name, base::object_version /*known*/,
+                                      base::duration /*timeout*/) override {
+        ++watches_;
+        return stored_object{read(name)->value, base::object_version(1)};
+    }
+    base::result<base::object_version> update(const base::object_name& /*name*/, const std::string& /*value*/,
+                                              base::object_version /*expected*/) override {
+        return base::object_version(0);
+    }
+    base::result<void> remove(const base::object_name& /*name*/, base::object_version /*expected*/) override {
+        return {};
+    }
+    base::result<std::vector<base::object_name>> list(const std::string& /*prefix*/) override {
+        return std::vector<base::object_name>();
+    }
+
+private:
+    std::string head_;
+    std::string chunk_;
+    std::atomic<int>& watches_;
+};
+
+} // namespace
+
+TEST_CASE("the release worker reads twice at start, because one read may be stale") {
+    standin::object_server server(0);
+    publish(server.port(), "a");
+    running_worker router(http_store(server.port()));
+    CHECK(router.await_release(1, decision::config_source::store));
+    CHECK(router.await_release(1, decision::config_source::store));
+    CHECK(server.table().counters().watches == 0);
+}
+
+TEST_CASE("a watcher sees a release at once, another router when it is told to fetch") {
+    standin::object_server server(0);
+    publish(server.port(), "a");
+    running_worker watcher(http_store(server.port()));
+    running_worker other(http_store(server.port()));
+    watcher.order(decision::watch_release{true});
+    REQUIRE(watcher.await([&](const decision::event&) { return server.table().counters().watches > 0; }));
+    REQUIRE(other.await_release(1, decision::config_source::store));
+    REQUIRE(other.await_release(1, decision::config_source::store));
+    publish(server.port(), "b");
+    CHECK(watcher.await_release(2, decision::config_source::store, 1s));
+    CHECK_FALSE(other.await_release(2, decision::config_source::store, 100ms));
+    other.order(decision::fetch_release{revision(2), std::nullopt});
+    CHECK(other.await_release(2, decision::config_source::store, 1s));
+}
+
+TEST_CASE("in a store outage a release comes from a peer, and the worker takes up reading afterwards") {
+    const std::uint16_t port = standin::free_port();
+    std::string peer_text;
+    {
+        standin::object_server earlier(port);
+        peer_text = render_config(*publish(port, "a"));
+    }
+    release_timing timing;
+    timing.retry = 100ms;
+    running_worker router(http_store(port), peer_text, timing);
+    REQUIRE(router.await_failure());
+    router.order(decision::fetch_release{revision(1), at(8001)});
+    CHECK(router.await_release(1, decision::config_source::peer));
+
+    standin::object_server server(port);
+    publish(port, "a");
+    publish(port, "b");
+    CHECK(router.await_release(2, decision::config_source::store));
+}
+
+TEST_CASE("stale reads and old peers never bring back an older configuration") {
+    standin::object_server server(0);
+    const std::string old_peer = render_config(*publish(server.port(), "a"));
+    publish(server.port(), "b");
+    running_worker router(http_store(server.port()), old_peer);
+    REQUIRE(router.await_release(2, decision::config_source::store));
+    standin::object_fault stale;
+    stale.stale_reads = 3;
+    server.table().inject(stale);
+    for (int i = 0; i < 4; ++i) {
+        router.order(decision::fetch_release{revision(3), at(8001)});
+    }
+    int seen = 0;
+    REQUIRE(router.await([&](const decision::event& what) {
+        const auto* read = std::get_if<decision::release_read>(&what);
+        REQUIRE(read != nullptr);
+        CHECK(read->config->rev == revision(2));
+        seen += read->source == decision::config_source::peer ? 1 : 0;
+        return seen == 4;
+    }));
+}
+
+TEST_CASE("a replica that lags does not make a watcher call it without pause") {
+    standin::object_server server(0);
+    const std::shared_ptr<const config_image> image = publish(server.port(), "a");
+    std::atomic<int> watches{0};
+    running_worker router(
+        std::make_unique<lagging_store>(image->head_text, *image->chunks.begin()->second, watches));
+    router.order(decision::watch_release{true});
+    REQUIRE(router.await([&](const decision::event&) { return watches > 0; }));
+    std::this_thread::sleep_for(1200ms);
+    CHECK(watches <= 5);
+}
+
+TEST_CASE("the release in force is rendered for peers, and nothing before there is one") {
+    standin::object_server server(0);
+    running_worker router(http_store(server.port()));
+    const auto render = [&] {
+        const std::shared_ptr<base::ring<std::string>> reply = std::make_shared<base::ring<std::string>>(1);
+        router.order(decision::config_requested{reply});
+        return reply->pop(5s);
+    };
+    REQUIRE(router.await([](const decision::event&) { return true; }));
+    CHECK(render() == std::string());
+    const std::shared_ptr<const config_image> image = publish(server.port(), "a");
+    router.order(decision::fetch_release{revision(1), std::nullopt});
+    REQUIRE(router.await_release(1, decision::config_source::store));
+    CHECK(render() == render_config(*image));
+}
+
+TEST_CASE("a release worker that waits for its next read or in a watch stops at once") {
+    standin::object_server server(0);
+    publish(server.port(), "a");
+    for (const bool watching : {false, true}) {
+        running_worker router(http_store(server.port()));
+        router.order(decision::watch_release{watching});
+        REQUIRE(router.await_release(1, decision::config_source::store));
+        REQUIRE(router.await_release(1, decision::config_source::store));
+        const base::time_point start = router.time.now();
+        router.thread.stop();
+        CHECK(router.time.now() - start < 2s);
+        CHECK(router.thread.report().state == base::child_state::stopped);
+    }
+}
+
+TEST_CASE("the VM worker goes on with its polls after the list could not be read") {
+    standin::object_server server(0);
+    const decision::vm_entry vm{base::vm_id("vm-1"), base::data_centre_id("dc"), at(7001), at(8001), false};
+    server.table().store_vms("{");
+    base::ring<decision::event> events(16);
+    base::worker_child thread(std::make_unique<vms_worker>(
+        std::make_unique<http_vm_list>(at(server.port()), test_limits), events, 1, 20ms));
+    thread.start([](const base::error& /*cause*/) {});
+    CHECK_FALSE(events.pop(100ms));
+    server.table().store_vms(encode_vms({vm}));
+    const std::optional<decision::event> listed = events.pop(5s);
+    REQUIRE(listed);
+    CHECK(std::get<decision::vms_listed>(*listed).vms.front().vm == vm.vm);
+    thread.stop();
+}
