Repeat bids each second and tell larger changes of keys only

Cause: bids are 7.5 of 12.5 KB/s; most follow a key that dropped for an urgent request or rose again after it.

Change: bid_interval 0.5 to 1 s, key_drop 0.25 to 0.5, key_rise 1 to 2 requests.

--- a/src/decision/permit.h
+++ b/src/decision/permit.h
@@ -35,15 +35,15 @@
     base::duration learning = std::chrono::milliseconds(200);
     /// Standing bids and lists of held grants are repeated at this interval, or so seldom that the
     /// repetitions of all pools to all their owners stay below `bids_per_second`.
-    base::duration bid_interval = std::chrono::milliseconds(500);
+    base::duration bid_interval = std::chrono::milliseconds(1000);
     base::duration longest_bid_interval = std::chrono::seconds(2);
     double bids_per_second = 24;
     /// Shortest time between bids of a pool to an owner that tell of a risen key.
     base::duration bid_raise_interval = std::chrono::milliseconds(100);
     /// Differences of a key that are told before the next repetition, in requests of the default cost at
     /// weight one.
-    double key_drop = 0.25;
-    double key_rise = 1.0;
+    double key_drop = 0.5;
+    double key_rise = 2.0;
     /// Shortest time between bids of a pool that tell of less work or confirm a grant. Bids that tell of new
     /// or more urgent work are not held back.
     base::duration bid_change_interval = std::chrono::milliseconds(20);
