--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -13,12 +13,14 @@
 
 Usage:
   measure [--csv] [--seconds N] [--seed N] [--only NAME]
+  measure --cost
 
 Options:
   --csv        Write CSV instead of a table.
   --seconds N  Simulated time of each run [default: 90].
   --seed N     Seed of arrivals, costs, hints and message delays [default: 1].
   --only NAME  Run one scenario.
+  --cost       Measure the processor time of one router at design size instead.
 )";
 
 /// Every account but the last four wants more than its share.
@@ -90,11 +92,88 @@
     std::puts("");
 }
 
+struct closed_gate final : decision::start_gate {
+    [[nodiscard]] bool can_start(const base::upstream_id&) const override { return false; }
+};
+
+/// One of 350 routers before 730 workers of 9 pools, with `backlogged` accounts waiting in turn over the
+/// pools.
+void print_cost(int configured, int backlogged) {
+    constexpr int routers = 350;
+    constexpr int workers = 730;
+    constexpr int pools = 9;
+    constexpr int ticks = 2000;
+    const std::shared_ptr<decision::fleet_config> config = std::make_shared<decision::fleet_config>();
+    const auto pool_name = [](int i) { return base::pool_id("model-" + std::to_string(i % pools)); };
+    for (int i = 0; i < pools; ++i) {
+        config->pools[pool_name(i)] =
+            decision::pool{pool_name(i), decision::pool_kind::model, base::cost(300)};
+    }
+    for (int i = 0; i < configured; ++i) {
+        const base::client_account_id id("account-" + std::to_string(i));
+        config->accounts[id] = decision::client_account{id, base::weight(1)};
+    }
+    for (int i = 0; i < workers; ++i) {
+        decision::upstream item;
+        item.id = base::upstream_id("worker-" + std::to_string(i));
+        item.pool = pool_name(i);
+        item.slots = base::slot_count(8);
+        config->upstreams[item.id] = item;
+    }
+    decision::schedule_members members;
+    members.listed = routers;
+    for (int i = 0; i < routers; ++i) {
+        members.live.push_back(base::vm_id("entry-" + std::to_string(i)));
+    }
+    base::manual_clock clock;
+    const closed_gate gate;
+    decision::schedule one(members.live.front(), base::incarnation(1), decision::schedule_options{}, gate);
+    one.set_members(members, clock.now());
+    const base::steady_clock real;
+    const base::time_point before = real.now();
+    one.configure(config, clock.now());
+    const double configure_ms = std::chrono::duration<double, std::milli>(real.now() - before).count();
+    for (int i = 0; i < backlogged * 4; ++i) {
+        decision::request what;
+        what.id = base::request_id(base::wide{0, static_cast<std::uint64_t>(i)});
+        what.account = base::client_account_id("account-" + std::to_string(i % backlogged));
+        what.pool = pool_name(i % backlogged);
+        what.deadline = clock.now() + std::chrono::hours(1);
+        static_cast<void>(one.arrive(what, clock.now()));
+    }
+    std::size_t messages = 0;
+    double bytes = 0;
+    const base::time_point first = real.now();
+    for (int i = 0; i < ticks; ++i) {
+        clock.advance(decision::schedule::tick_interval);
+        one.tick(clock.now());
+        for (const decision::outgoing& item : one.take().messages) {
+            ++messages;
+            bytes += static_cast<double>(bench::estimated_bytes(item.body, pools));
+        }
+    }
+    const double tick_us = std::chrono::duration<double, std::micro>(real.now() - first).count() / ticks;
+    const double seconds = std::chrono::duration<double>(ticks * decision::schedule::tick_interval).count();
+    std::printf(
+        "accounts %6d  backlogged %5d  configure %6.1f ms  tick %7.1f us  core %5.2f %%  %5.0f msg/s  "
+        "%6.0f B/s\n",
+        configured, backlogged, configure_ms, tick_us, tick_us / 100, static_cast<double>(messages) / seconds,
+        bytes / seconds);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
     const std::map<std::string, docopt::value> options =
         docopt::docopt(help, {argv + 1, argv + argc}, true, "");
+    if (options.at("--cost").asBool()) {
+        for (const int configured : {2400, 24000}) {
+            for (const int backlogged : {7, 70, 700}) {
+                print_cost(configured, backlogged);
+            }
+        }
+        return 0;
+    }
     const bool csv = options.at("--csv").asBool();
     const base::duration length = std::chrono::seconds(options.at("--seconds").asLong());
     const std::uint64_t seed = static_cast<std::uint64_t>(options.at("--seed").asLong());
