Measure claims: store calls, latency and bytes

Cause: the spacing of writes trades claim latency for store calls, and the store takes several hundred writes a second.

Change: bench/claims runs the real modules of 8 routers over 64 partitions with manual time (1.5 ms one way, 5 ms per store call, new keys only, each claim settled after 0.5 s, 30 s after 5 s of warm-up).

--- /dev/null
+++ b/bench/claims.cpp
@@ -0,0 +1,269 @@
+/// Measures store calls, claim latency and control bytes of at-most-once execution with manual time: real
+/// decision modules and journal writers over an in-memory store. Prints CSV.
+
+#include "decision/claim.h"
+#include "platform/journal.h"
+#include "tests/fake.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bluebell;
+using namespace bluebell::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t router_count = 8;
+constexpr std::uint16_t partition_count = 64;
+constexpr base::duration step = 1ms;
+constexpr base::duration one_way = 1500us;
+/// Time of one store call, as from another data centre.
+constexpr base::duration store_call = 5ms;
+constexpr base::duration run_time = 500ms;
+constexpr base::duration warm_up = 5s;
+constexpr base::duration measured = 30s;
+/// Bytes of IP and UDP headers, message header and framing; estimated, as the codec is another module.
+constexpr std::size_t datagram_overhead = 96;
+
+std::size_t body_bytes(const message& what) {
+    if (std::holds_alternative<claim>(what)) {
+        return 34;
+    }
+    return std::holds_alternative<settle_ack>(what) ? 32 : 35;
+}
+
+struct packet {
+    base::time_point due;
+    base::vm_id from;
+    std::size_t to = 0;
+    message body;
+};
+
+struct later {
+    bool operator()(const packet& a, const packet& b) const { return a.due > b.due; }
+};
+
+struct router {
+    std::unique_ptr<claim_client> client;
+    std::unique_ptr<claim_owner> owner;
+    std::unique_ptr<platform::journal_writer> writer;
+    std::deque<journal_command> commands;
+    std::deque<std::pair<base::time_point, journal_answered>> answers;
+    base::time_point worker_free;
+    std::deque<std::pair<base::time_point, base::request_id>> running;
+    /// Messages received as partition owner and sent in answer.
+    std::uint64_t owner_bytes = 0;
+    std::uint64_t owner_messages = 0;
+};
+
+class trial {
+public:
+    trial(base::duration spacing, double rate, std::size_t tail_records) : rate_(rate) {
+        std::vector<base::vm_id> all;
+        for (std::size_t i = 0; i < router_count; ++i) {
+            all.emplace_back("vm" + std::to_string(i));
+        }
+        for (std::size_t i = 0; i < router_count; ++i) {
+            owner_settings settings;
+            settings.spacing = spacing;
+            settings.tail_records = tail_records;
+            router& at = routers_[i];
+            at.client = std::make_unique<claim_client>(client_settings{});
+            at.owner = std::make_unique<claim_owner>(all[i], base::incarnation(1), settings, i);
+            at.writer =
+                std::make_unique<platform::journal_writer>(store_, clock_, platform::journal_settings{}, i);
+            take(i, at.client->members_changed(all, clock_.now()));
+            take(i, at.owner->members_changed(all, clock_.now()));
+        }
+    }
+
+    void run() {
+        const base::time_point start = clock_.now();
+        advance_until(start + warm_up);
+        latencies_.clear();
+        refused_ = 0;
+        const std::uint64_t reads = store_.reads;
+        const std::uint64_t writes = store_.writes;
+        const std::uint64_t bytes = store_.bytes_written;
+        std::uint64_t owner_bytes = 0;
+        std::uint64_t owner_messages = 0;
+        for (router& at : routers_) {
+            at.owner_bytes = 0;
+            at.owner_messages = 0;
+        }
+        advance_until(start + warm_up + measured);
+        for (const router& at : routers_) {
+            owner_bytes += at.owner_bytes;
+            owner_messages += at.owner_messages;
+        }
+        const double seconds = std::chrono::duration<double>(measured).count();
+        std::sort(latencies_.begin(), latencies_.end());
+        std::printf("%.0f,%.0f,%.1f,%.1f,%.1f,%.1f,%.1f,%.0f,%.0f,%.1f\n", rate_,
+                    static_cast<double>(refused_), quantile(0.5), quantile(0.95), quantile(0.99),
+                    static_cast<double>(store_.writes - writes) / seconds,
+                    static_cast<double>(store_.reads - reads) / seconds,
+                    static_cast<double>(store_.bytes_written - bytes) / seconds / partition_count,
+                    static_cast<double>(owner_bytes) / seconds / partition_count,
+                    static_cast<double>(owner_messages) / seconds / partition_count);
+    }
+
+private:
+    [[nodiscard]] double quantile(double part) const {
+        if (latencies_.empty()) {
+            return 0;
+        }
+        const std::size_t index = static_cast<std::size_t>(part * static_cast<double>(latencies_.size() - 1));
+        return std::chrono::duration<double, std::milli>(latencies_[index]).count();
+    }
+
+    void advance_until(base::time_point end) {
+        std::exponential_distribution<double> gap(rate_);
+        while (clock_.now() < end) {
+            clock_.advance(step);
+            while (next_arrival_ <= clock_.now()) {
+                submit();
+                next_arrival_ =
+                    std::max(next_arrival_, clock_.now() - step) +
+                    std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(gap(random_)));
+            }
+            deliver();
+            for (std::size_t i = 0; i < router_count; ++i) {
+                advance(i);
+            }
+        }
+    }
+
+    void submit() {
+        const std::size_t entry = random_() % router_count;
+        const base::request_id attempt(base::wide{random_(), random_()});
+        const base::key_hash key(base::wide{random_(), random_()});
+        base::result<client_actions> done =
+            routers_[entry].client->submit(attempt, key, clock_.now() + 1min, clock_.now());
+        if (done) {
+            submitted_[attempt] = clock_.now();
+            take(entry, std::move(*done));
+        } else {
+            ++refused_;
+        }
+    }
+
+    void deliver() {
+        while (!network_.empty() && network_.top().due <= clock_.now()) {
+            const packet what = network_.top();
+            network_.pop();
+            router& to = routers_[what.to];
+            if (const auto* asked = std::get_if<claim>(&what.body)) {
+                count(to, what.body);
+                take(what.to, to.owner->on_claim(*asked, what.from, clock_.now()));
+            } else if (const auto* settled = std::get_if<settle>(&what.body)) {
+                count(to, what.body);
+                take(what.to, to.owner->on_settle(*settled, what.from, clock_.now()));
+            } else if (const auto* answer = std::get_if<claim_result>(&what.body)) {
+                take(what.to, to.client->on_result(*answer, clock_.now()));
+            } else {
+                to.client->on_settled(std::get<settle_ack>(what.body));
+            }
+        }
+    }
+
+    void advance(std::size_t index) {
+        router& at = routers_[index];
+        const base::time_point now = clock_.now();
+        while (!at.running.empty() && at.running.front().first <= now) {
+            take(index, at.client->ended(at.running.front().second, outcome::ran, now));
+            at.running.pop_front();
+        }
+        // The worker is one thread: its calls follow one another, and an answer takes all calls of a command.
+        while (!at.commands.empty() && at.worker_free <= now) {
+            const std::uint64_t calls = store_.reads + store_.writes;
+            const event answer =
+                at.writer->carry_out(at.commands.front(), [](base::duration) { return true; });
+            at.commands.pop_front();
+            at.worker_free = now + store_call * static_cast<int>(store_.reads + store_.writes - calls);
+            at.answers.emplace_back(at.worker_free, std::get<journal_answered>(answer));
+        }
+        if (at.commands.empty() && at.worker_free <= now) {
+            at.writer->remove_garbage();
+        }
+        while (!at.answers.empty() && at.answers.front().first <= now) {
+            const journal_answered answer = std::move(at.answers.front().second);
+            at.answers.pop_front();
+            take(index, at.owner->on_answer(answer, now));
+        }
+        take(index, at.owner->tick(now));
+        take(index, at.client->tick(now));
+    }
+
+    static void count(router& owner, const message& what) {
+        owner.owner_bytes += datagram_overhead + body_bytes(what);
+        ++owner.owner_messages;
+    }
+
+    void send(std::size_t from, outgoing& out) {
+        const std::size_t to = static_cast<std::size_t>(std::stoul(out.to.value().substr(2)));
+        network_.push(
+            {clock_.now() + one_way, base::vm_id("vm" + std::to_string(from)), to, std::move(out.body)});
+    }
+
+    void take(std::size_t index, client_actions actions) {
+        for (outgoing& out : actions.messages) {
+            send(index, out);
+        }
+        for (const base::request_id& attempt : actions.granted) {
+            latencies_.push_back(clock_.now() - submitted_[attempt]);
+            submitted_.erase(attempt);
+            if (routers_[index].client->dispatch(attempt, clock_.now())) {
+                routers_[index].running.emplace_back(clock_.now() + run_time, attempt);
+            }
+        }
+        refused_ += actions.ended.size();
+    }
+
+    void take(std::size_t index, owner_actions actions) {
+        for (outgoing& out : actions.messages) {
+            count(routers_[index], out.body);
+            send(index, out);
+        }
+        for (journal_command& command : actions.commands) {
+            routers_[index].commands.push_back(std::move(command));
+        }
+    }
+
+    const double rate_;
+    base::manual_clock clock_;
+    test::fake_store store_;
+    std::mt19937_64 random_{42};
+    std::array<router, router_count> routers_;
+    std::priority_queue<packet, std::vector<packet>, later> network_;
+    std::unordered_map<base::request_id, base::time_point> submitted_;
+    std::vector<base::duration> latencies_;
+    std::uint64_t refused_ = 0;
+    base::time_point next_arrival_ = clock_.now();
+};
+
+} // namespace
+
+int main() {
+    std::printf("spacing_ms,tail_records,claims_per_s,refused,p50_ms,p95_ms,p99_ms,store_writes_per_s,"
+                "store_reads_per_s,store_bytes_per_s_per_partition,message_bytes_per_s_per_partition,"
+                "messages_per_s_per_partition\n");
+    for (const base::duration spacing : {base::duration(20ms), base::duration(250ms)}) {
+        for (const std::size_t tail_records : {std::size_t(55), std::size_t(220)}) {
+            for (const double rate : {10.0, 100.0, 1000.0}) {
+                std::printf("%lld,%zu,",
+                            static_cast<long long>(
+                                std::chrono::duration_cast<std::chrono::milliseconds>(spacing).count()),
+                            tail_records);
+                trial(spacing, rate, tail_records).run();
+            }
+        }
+    }
+}
