Let schedules lose commands and refuse them at the ring

Cause: a worker that fails loses a command without an answer, and a full ring refuses one; neither was part of the schedules.

Change: schedules do both. A command without an answer is given up after 20 s instead of 60 s, since claims of its partition are refused meanwhile.

--- a/src/decision/claim.cpp
+++ b/src/decision/claim.cpp
@@ -773,8 +773,10 @@
             }
             fail(part, {base::error_code::store_answer_lost, "journal", "no answer"}, now, actions);
         }
-        refuse_claims(part, claim_answer::unavailable, now - settings_.patience, actions);
-        start(part, now, actions);
+        if (!part.waiting.empty()) {
+            refuse_claims(part, claim_answer::unavailable, now - settings_.patience, actions);
+            start(part, now, actions);
+        }
         if (part.at == phase::owned && now >= part.next_expiry) {
             expire(part, now);
         }
--- a/src/decision/claim.h
+++ b/src/decision/claim.h
@@ -154,7 +154,7 @@
     /// A write that takes longer counts as a store outage: claims are refused instead of waiting.
     base::duration patience = std::chrono::milliseconds(1500);
     /// A command without an answer for this long is given up; its late answer is ignored.
-    base::duration answer_limit = std::chrono::seconds(60);
+    base::duration answer_limit = std::chrono::seconds(20);
     /// Interval between attempts to write during an outage.
     base::duration outage_pause = std::chrono::seconds(1);
     /// A router that lost a partition which it should own waits this long, and up to twice this long, before
--- a/tests/claim_test.cpp
+++ b/tests/claim_test.cpp
@@ -31,6 +31,7 @@
     settings.tail_records = 4;
     settings.merge_fan_in = 3;
     settings.deposed_pause = 100ms;
+    settings.answer_limit = 2s;
     return settings;
 }
 
@@ -266,7 +267,11 @@
             network_.push_back({at.id, out.to, std::move(out.body)});
         }
         for (journal_command& command : actions.commands) {
-            at.commands.push_back(std::move(command));
+            if (store_.faults.delayed > 0 && chance(3)) {
+                at.answers.push_back(std::get<journal_answered>(refused_command(command)));
+            } else {
+                at.commands.push_back(std::move(command));
+            }
         }
     }
 
@@ -437,7 +442,14 @@
     }
 
     void disturb(node& at) {
-        switch (pick(5)) {
+        switch (pick(6)) {
+        case 5:
+            // The worker fails and loses the command, which takes effect later or not at all.
+            if (!at.commands.empty()) {
+                zombies_.push_back(std::move(at.commands.front()));
+                at.commands.pop_front();
+            }
+            break;
         case 0:
             restart(at);
             break;
