Leave unchanged values out of watches

Cause: a watch slice ends every 500 ms and returned the whole head, about 6 KB with full lists; a watcher would have taken more than the 7 KB/s that a node may use for control.

Change: a watch sends If-None-Match with the known version (RFC 9110); the stand-in answers 304 without body. A store that ignores the header still works.

Conclusion: an idle watcher costs the headers of two calls a second.

--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -84,6 +84,17 @@
     return answer;
 }
 
+/// Pre-condition: an answer has status 200.
+base::result<stored_object> to_object(base::result<http_answer> answer, const base::object_name& name) {
+    if (!answer) {
+        return tl::unexpected<base::error>(answer.error());
+    }
+    if (answer->version == base::object_version(0)) {
+        return base::failure(error_code::store_malformed, name.value(), "the answer has no version");
+    }
+    return stored_object{std::move(answer->body), answer->version};
+}
+
 cxxtools::SerializationInfo parse_json(const std::string& json) {
     cxxtools::SerializationInfo si;
     std::istringstream in(json);
@@ -131,18 +142,30 @@
     return {client_.header().httpReturnCode(), client_.body(), parse_etag(client_.reply().getHeader("ETag"))};
 }
 
-base::result<http_answer> http_connection::fetch(const std::string& path, const std::string& query,
-                                                 base::duration extra_wait) {
+base::result<http_answer> http_connection::get(const cxxtools::http::Request& request, base::duration limit) {
     try {
-        cxxtools::http::Request request(path);
-        request.qparams(query);
-        return execute(request, limits_.answer + extra_wait);
+        return execute(request, limit);
     } catch (const std::exception& caught) {
         reset();
-        return base::failure(error_code::store_unavailable, to_string(server_) + path, caught.what());
+        return base::failure(error_code::store_unavailable, to_string(server_) + request.url(),
+                             caught.what());
     }
 }
 
+base::result<http_answer> http_connection::fetch(const std::string& path, const std::string& query) {
+    cxxtools::http::Request request(path);
+    request.qparams(query);
+    return get(request, limits_.answer);
+}
+
+base::result<http_answer> http_connection::wait(const std::string& path, const std::string& query,
+                                                base::object_version known, base::duration extra_wait) {
+    cxxtools::http::Request request(path);
+    request.qparams(query);
+    request.setHeader("If-None-Match", etag(known).c_str());
+    return get(request, limits_.answer + extra_wait);
+}
+
 base::result<http_answer> http_connection::change(cxxtools::http::Request& request) {
     // cxxtools sends a request again when a kept connection breaks before the answer. A conditional update
     // whose answer was lost would then look like a conflict with somebody else, so each call with an effect
@@ -167,30 +190,20 @@
 http_object_store::http_object_store(const decision::endpoint& server, call_limits limits)
     : connection_(server, limits) {}
 
-base::result<stored_object> http_object_store::read_object(const base::object_name& name,
-                                                           const std::string& query,
-                                                           base::duration extra_wait) {
-    const base::result<http_answer> answer =
-        check_read(connection_.fetch(object_path(name), query, extra_wait), name.value());
-    if (!answer) {
-        return tl::unexpected<base::error>(answer.error());
-    }
-    if (answer->version == base::object_version(0)) {
-        return base::failure(error_code::store_malformed, name.value(), "the answer has no version");
-    }
-    return stored_object{answer->body, answer->version};
-}
-
 base::result<stored_object> http_object_store::read(const base::object_name& name) {
-    return read_object(name, "", base::duration::zero());
+    return to_object(check_read(connection_.fetch(object_path(name), ""), name.value()), name);
 }
 
 base::result<stored_object> http_object_store::watch(const base::object_name& name,
                                                      base::object_version known, base::duration timeout) {
     const long long timeout_ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
-    return read_object(name,
-                       "watch=" + std::to_string(known.value()) + "&timeout_ms=" + std::to_string(timeout_ms),
-                       timeout);
+    const std::string query =
+        "watch=" + std::to_string(known.value()) + "&timeout_ms=" + std::to_string(timeout_ms);
+    base::result<http_answer> answer = connection_.wait(object_path(name), query, known, timeout);
+    if (answer && answer->status == 304) {
+        return stored_object{"", known};
+    }
+    return to_object(check_read(std::move(answer), name.value()), name);
 }
 
 base::result<base::object_version> http_object_store::update(const base::object_name& name,
--- a/src/platform/http.h
+++ b/src/platform/http.h
@@ -31,8 +31,11 @@
 
     /// A GET. It may be sent twice when a kept connection turns out to be closed.
     /// Errors: `store_unavailable`.
-    base::result<http_answer> fetch(const std::string& path, const std::string& query,
-                                    base::duration extra_wait = base::duration::zero());
+    base::result<http_answer> fetch(const std::string& path, const std::string& query);
+    /// A GET that waits up to `extra_wait` for another version than `known`; the answer may have status 304
+    /// and no body if there is none. Errors: `store_unavailable`.
+    base::result<http_answer> wait(const std::string& path, const std::string& query,
+                                   base::object_version known, base::duration extra_wait);
     /// A call with an effect; it is sent at most once. Errors: `store_unavailable` if no connection came
     /// about, so that no effect is possible; `store_answer_lost` otherwise.
     base::result<http_answer> change(cxxtools::http::Request& request);
@@ -40,6 +43,7 @@
 private:
     /// Drops the connection; the next call opens a new one.
     void reset();
+    base::result<http_answer> get(const cxxtools::http::Request& request, base::duration limit);
     http_answer execute(const cxxtools::http::Request& request, base::duration limit);
 
     decision::endpoint server_;
@@ -61,9 +65,6 @@
     base::result<std::vector<base::object_name>> list(const std::string& prefix) override;
 
 private:
-    base::result<stored_object> read_object(const base::object_name& name, const std::string& query,
-                                            base::duration extra_wait);
-
     http_connection connection_;
 };
 
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -36,7 +36,7 @@
     virtual base::result<base::object_version> update(const base::object_name& name, const std::string& value,
                                                       base::object_version expected) = 0;
     /// Waits until the object has another version than `known`, at most `timeout`. Returns the object as it
-    /// then is. Further error: `store_not_found`.
+    /// then is; its value may be left out if the version is still `known`. Further error: `store_not_found`.
     virtual base::result<stored_object> watch(const base::object_name& name, base::object_version known,
                                               base::duration timeout) = 0;
     /// Further errors: `store_conflict`, `store_not_found`.
--- a/standin/objects.cpp
+++ b/standin/objects.cpp
@@ -80,6 +80,8 @@
     switch (status) {
     case 200:
         return "OK";
+    case 304:
+        return "Not Modified";
     case 400:
         return "Bad Request";
     case 404:
@@ -158,7 +160,11 @@
         if (answer.lost) {
             throw answer_lost();
         }
-        if (answer.status == 200) {
+        if (answer.status == 200 && parse_etag(request.getHeader("If-None-Match")) == answer.object.version) {
+            answer.status = 304;
+            answer.object.value.clear();
+        }
+        if (answer.status == 200 || answer.status == 304) {
             reply.setHeader("ETag", ('"' + std::to_string(answer.object.version) + '"').c_str());
         }
         body = std::move(answer.object.value);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -149,7 +149,11 @@
     http_object_store store(at(server.port()), test_limits);
     const base::result<object_version> first = store.update(object_name("a"), "one", object_version(0));
     REQUIRE(first);
+    const std::uint64_t bytes = server.table().counters().bytes_out;
     CHECK(store.watch(object_name("a"), *first, 50ms)->version == *first);
+    // An unchanged value is not sent again; watchers call twice a second.
+    CHECK(server.table().counters().bytes_out == bytes);
+    CHECK(store.watch(object_name("a"), object_version(0), 50ms)->value == "one");
     std::thread writer([&] {
         std::this_thread::sleep_for(50ms);
         server.table().write("a", "two", std::nullopt);
