--- a/tests/member_test.cpp
+++ b/tests/member_test.cpp
@@ -272,7 +272,7 @@
     fleet.network().loss = 0.02;
     fleet.network().fetch = 500ms;
     fleet.run(20s);
-    fleet.count_bytes(true);
+    fleet.use_codec(true);
     const base::time_point start = fleet.now();
     for (member_network::node& node : fleet.nodes()) {
         node.sent = {};
--- a/tests/network.h
+++ b/tests/network.h
@@ -161,8 +161,8 @@
     [[nodiscard]] conditions& network() { return conditions_; }
     /// Virtual times that every header carries.
     [[nodiscard]] std::vector<decision::pool_time>& virtual_times() { return virtual_times_; }
-    /// Encodes every message, which is slow, to count bytes.
-    void count_bytes(bool on) { count_bytes_ = on; }
+    /// Sends every message as datagrams, as between processes, and counts their bytes.
+    void use_codec(bool on) { use_codec_ = on; }
 
 private:
     struct happening {
@@ -203,13 +203,18 @@
         what.header.virtual_times = virtual_times_;
         what.body = std::move(message.body);
         ++sender.sent.messages;
-        if (count_bytes_) {
-            const base::result<std::vector<std::string>> datagrams = codec_.encode_split(what);
-            for (const std::string& datagram : datagrams.value()) {
-                sender.sent.bytes += datagram.size();
-            }
-        }
         const auto to = static_cast<std::size_t>(std::stoi(message.to.value().substr(3)) - 1000);
+        if (!use_codec_) {
+            transmit(from, to, [this, to, what] { arrive(to, what); });
+            return;
+        }
+        const base::result<std::vector<std::string>> datagrams = codec_.encode_split(what);
+        for (const std::string& datagram : datagrams.value()) {
+            sender.sent.bytes += datagram.size();
+            transmit(from, to, [this, to, datagram] { arrive(to, codec_.decode(datagram).value()); });
+        }
+    }
+    void transmit(std::size_t from, std::size_t to, const std::function<void()>& arrival) {
         const bool separated = !side_.empty() && side_.count(from) != side_.count(to);
         if (separated || cut_.count({std::min(from, to), std::max(from, to)}) > 0) {
             return;
@@ -219,7 +224,7 @@
             const double wait = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
             const base::duration delay =
                 conditions_.one_way + std::chrono::duration_cast<base::duration>(conditions_.jitter * wait);
-            schedule(now_ + delay, [this, to, what] { arrive(to, what); });
+            schedule(now_ + delay, arrival);
         }
     }
     void arrive(std::size_t to, const decision::envelope& what) {
@@ -252,7 +257,7 @@
     decision::member_settings settings_;
     conditions conditions_;
     fleet::codec codec_;
-    bool count_bytes_ = false;
+    bool use_codec_ = false;
     std::vector<decision::pool_time> virtual_times_;
     std::vector<node> nodes_;
     std::vector<decision::vm_entry> listed_;
