--- a/src/decision/schedule.cpp
+++ b/src/decision/schedule.cpp
@@ -20,6 +20,7 @@
     config_ = std::move(config);
     share_.configure(config_);
     for (const auto& [id, what] : config_->pools) {
+        home_.set_default_cost(id, what.default_cost);
         queue_.set_boost(id, base::normalised_cost(options_.boost_requests * what.default_cost.value()));
     }
     std::vector<waiting_request> removed = queue_.remove_if([this](const request& what) {
@@ -44,7 +45,7 @@
     owner_.set_visible(members_.live.size(), members_.listed);
     for (const base::vm_id& member : before.live) {
         if (std::find(members_.live.begin(), members_.live.end(), member) == members_.live.end()) {
-            owner_.lose_member(member, now);
+            owner_.lose_member(member);
             home_.lose_member(member);
         }
     }
@@ -163,7 +164,7 @@
     }
     if (header.life > known->second) {
         known->second = header.life;
-        owner_.lose_member(header.sender, now);
+        owner_.lose_member(header.sender);
         home_.lose_member(header.sender);
     }
     return true;
@@ -180,10 +181,19 @@
 }
 
 void schedule::receive(const message_header& header, const grant& body, base::time_point now) {
-    if (!accept(header, now) || !bidder_.hold(header.sender, body)) {
+    if (!accept(header, now)) {
         return;
     }
-    use(body, now);
+    switch (bidder_.hold(header.sender, body)) {
+    case grant_state::taken:
+        use(body, now);
+        break;
+    case grant_state::held:
+        break;
+    case grant_state::ended:
+        output_.messages.push_back(outgoing{header.sender, release{body.id, body.pool, body.upstream}});
+        break;
+    }
 }
 
 void schedule::receive(const message_header& header, const release& body, base::time_point now) {
@@ -239,9 +249,6 @@
 
 void schedule::reprice(const share_key& key) {
     queue_.reprice(key, share_.normalised(key));
-    if (queue_.waiting(key.pool) > 0) {
-        bidder_.touch(key.pool);
-    }
 }
 
 void schedule::reprice_pool(const base::pool_id& pool) {
@@ -268,9 +275,34 @@
     running_.erase(found);
     share_.finish(ended.paid, spent);
     reprice(ended.paid.of);
+    if (may_reuse(ended, now) && start_in(ended.permit, ended.granted, ended.reused + 1)) {
+        ++reused_;
+        return;
+    }
     give_back(ended.permit, false, now);
 }
 
+/// Saves a release and a grant, and the two one-way delays in which the slot would be idle.
+bool schedule::may_reuse(const running_request& ended, base::time_point now) const {
+    const base::pool_id& pool = ended.permit.pool;
+    const base::vm_id& owner = bidder_.owner_of(ended.permit.upstream);
+    if (owner == self_ || owner.value().empty() || ended.reused >= options_.permit.reuse_limit) {
+        return false;
+    }
+    const std::vector<candidate> first = queue_.first(pool, 1);
+    const auto what = config_->pools.find(pool);
+    if (first.empty() || what == config_->pools.end()) {
+        return false;
+    }
+    const base::normalised_cost key =
+        first.front().key -
+        base::normalised_cost(options_.permit.reuse_slack * what->second.default_cost.value());
+    if (owner_.serves(pool)) {
+        return key <= owner_.lowest_key(pool, self_).value_or(key);
+    }
+    return now - ended.granted <= options_.permit.reuse_fresh && key <= ended.permit.other_key.value_or(key);
+}
+
 void schedule::report_load(const base::upstream_id& upstream, const upstream_load& load,
                            base::time_point read_at, base::time_point now) {
     now_ = now;
@@ -308,6 +340,8 @@
     work.account = candidates.front().account;
     work.priority = candidates.front().priority;
     work.start_tag = *queue_.lowest_service(pool);
+    const auto what = config_->pools.find(pool);
+    work.step = base::normalised_cost(what == config_->pools.end() ? 0 : what->second.default_cost.value());
     while (work.keys.size() < std::min(count, work.waiting)) {
         const auto lowest =
             std::min_element(candidates.begin(), candidates.end(),
@@ -339,21 +373,28 @@
     }
 }
 
-void schedule::use(const grant& permit, base::time_point now) {
+bool schedule::start_in(const grant& permit, base::time_point granted, std::size_t reused) {
     std::optional<waiting_request> next;
     if (!hold_ && gate_.can_start(permit.upstream)) {
         next = queue_.pop(permit.pool, permit.upstream);
     }
     if (!next) {
-        ++unused_;
-        give_back(permit, queue_.waiting(permit.pool) > 0, now);
-        return;
+        return false;
     }
     const share_key key{permit.pool, next->what.account};
-    running_.emplace(next->what.id, running_request{permit, share_.start(key, next->what.hint)});
+    running_.emplace(next->what.id,
+                     running_request{permit, share_.start(key, next->what.hint), granted, reused});
     left_queue(key);
     reprice(key);
     output_.started.push_back(started_request{std::move(next->what), permit.upstream});
+    return true;
+}
+
+void schedule::use(const grant& permit, base::time_point now) {
+    if (!start_in(permit, now, 0)) {
+        ++unused_;
+        give_back(permit, queue_.waiting(permit.pool) > 0, now);
+    }
 }
 
 void schedule::give_back(const grant& permit, bool unused, base::time_point now) {
@@ -399,7 +440,7 @@
         refuse(std::move(item), base::error{base::error_code::deadline_exceeded, self_.value(),
                                             "the deadline passed while the request waited"});
     }
-    std::set<base::pool_id> ready = owner_.tick(now);
+    std::set<base::pool_id> ready = owner_.tick(now, output_.messages);
     for (const base::pool_id& pool : active_) {
         if (queue_.waiting(pool) > 0) {
             ready.insert(pool);
@@ -435,6 +476,7 @@
         {"grants_outstanding", std::to_string(owner_.outstanding())},
         {"grants_returned", std::to_string(owner_.returned())},
         {"grants_unused", std::to_string(unused_)},
+        {"grants_reused", std::to_string(reused_)},
         {"share_accounts", std::to_string(share_.accounts())},
         {"home_accounts", std::to_string(home_.accounts())},
     };
