Limit usage messages, answers and bids per second

Cause: with 700 backlogged accounts and homes that do not answer, a router sent 3,298 messages/s; each message carried the virtual time of every pool.

Change: reports and answers go to 16 destinations per second, in turn; unanswered reports repeat after 300 ms. Changed keys wait while bids exceed 24/s, and the owners that a long queue adds stay within that limit. Headers carry the virtual times of two pools in turn.

--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -149,7 +149,8 @@
         one.tick(clock.now());
         for (const decision::outgoing& item : one.take().messages) {
             ++messages;
-            bytes += static_cast<double>(bench::estimated_bytes(item.body, pools));
+            bytes +=
+                static_cast<double>(bench::estimated_bytes(item.body, decision::schedule::max_header_pools));
         }
     }
     const double tick_us = std::chrono::duration<double, std::micro>(real.now() - first).count() / ticks;
--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -402,7 +402,7 @@
 }
 
 permit_bidder::permit_bidder(base::vm_id self, const permit_options& options)
-    : self_(std::move(self)), options_(options) {}
+    : self_(std::move(self)), options_(options), limit_(options.bids_per_second) {}
 
 void permit_bidder::set_owners(const std::map<base::upstream_id, upstream>& upstreams,
                                const std::map<base::upstream_id, base::vm_id>& owners) {
@@ -550,7 +550,8 @@
         const bool more = work.waiting > to.told_count && to.told_count < options_.few_waiting;
         const bool lower = key < to.told_key - work.step * options_.key_drop;
         const bool higher = key > to.told_key + work.step * options_.key_rise;
-        if (exhausted || (standing && (more || lower || (higher && since >= options_.bid_raise_interval)))) {
+        const bool changed = lower || (higher && since >= options_.bid_raise_interval);
+        if (exhausted || (standing && (more || (changed && limit_.available())))) {
             return true;
         }
     } else if (standing) {
@@ -566,13 +567,18 @@
         state.rotated = now;
         ++state.rotation;
     }
-    state.standing = std::min(state.order.size(),
-                              std::max(options_.bid_fanout, work.waiting / options_.waiting_per_owner));
+    const double affordable = options_.bids_per_second *
+                              std::chrono::duration<double>(options_.longest_bid_interval).count() /
+                              static_cast<double>(active_.size());
+    const std::size_t wanted =
+        std::min(work.waiting / options_.waiting_per_owner, static_cast<std::size_t>(affordable));
+    state.standing = std::min(state.order.size(), std::max(options_.bid_fanout, wanted));
     const std::size_t rest = std::max<std::size_t>(state.order.size() - state.standing, 1);
     for (std::size_t i = 0; i < state.order.size(); ++i) {
         owner_state& to = state.owners.at(state.order[i]);
         const bool standing = i < state.standing || i - state.standing == state.rotation % rest;
         if (bid_due(to, work, standing, now)) {
+            limit_.take();
             messages.push_back(outgoing{state.order[i], make_bid(pool, to, work)});
             to.sent = now;
             to.told_waiting = work.waiting > 0;
@@ -587,6 +593,7 @@
 
 std::vector<outgoing> permit_bidder::collect(const demand_of& current, base::time_point now) {
     std::vector<outgoing> messages;
+    limit_.refill(now);
     for (auto position = active_.begin(); position != active_.end();) {
         const auto found = pools_.find(*position);
         if (found == pools_.end()) {
--- a/src/decision/permit.h
+++ b/src/decision/permit.h
@@ -6,6 +6,7 @@
 #include "decision/config.h"
 #include "decision/event.h"
 #include "decision/message.h"
+#include "decision/share.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,13 +31,13 @@
     /// made before it took back a slot that was in use, so this covers a message and its answer.
     base::duration flight_limit = std::chrono::milliseconds(100);
     /// The same for a grant that was listed before. Longer than `longest_bid_interval`.
-    base::duration listed_limit = std::chrono::seconds(3);
+    base::duration listed_limit = std::chrono::seconds(6);
     /// How long a new owner listens to bids before it grants.
     base::duration learning = std::chrono::milliseconds(200);
     /// Standing bids and lists of held grants are repeated at this interval, or so seldom that the
     /// repetitions of all pools to all their owners stay below `bids_per_second`.
     base::duration bid_interval = std::chrono::milliseconds(1000);
-    base::duration longest_bid_interval = std::chrono::seconds(2);
+    base::duration longest_bid_interval = std::chrono::seconds(4);
     double bids_per_second = 24;
     /// Shortest time between bids of a pool to an owner that tell of a risen key.
     base::duration bid_raise_interval = std::chrono::milliseconds(100);
@@ -51,7 +52,7 @@
     /// two repetitions.
     std::size_t few_waiting = 4;
     /// A bid that was not repeated for this time is dropped.
-    base::duration bid_lifetime = std::chrono::seconds(5);
+    base::duration bid_lifetime = std::chrono::seconds(10);
     /// An upstream that a bidder handed back unused is not offered to it again for this time.
     base::duration unused_hold = std::chrono::milliseconds(100);
     /// Ended grants are remembered for this time, so that a late message does not revive them.
@@ -298,6 +299,7 @@
     std::unordered_map<base::grant_id, held_state> held_;
     ended_grants ended_;
     std::uint64_t sequence_ = 0;
+    rate_limit limit_;
 };
 
 } // namespace bluebell::decision
--- a/src/decision/schedule.cpp
+++ b/src/decision/schedule.cpp
@@ -234,12 +234,14 @@
     }
 }
 
-std::vector<pool_time> schedule::virtual_times() const {
+std::vector<pool_time> schedule::virtual_times() {
     std::vector<pool_time> times;
-    for (const base::pool_id& pool : active_) {
-        if (times.size() < max_header_pools) {
-            times.push_back(pool_time{pool, share_.virtual_time(pool)});
-        }
+    auto position = active_.upper_bound(last_told_);
+    for (std::size_t i = 0; i < std::min(active_.size(), max_header_pools); ++i) {
+        position = position == active_.end() ? active_.begin() : position;
+        last_told_ = *position;
+        times.push_back(pool_time{*position, share_.virtual_time(*position)});
+        ++position;
     }
     return times;
 }
--- a/src/decision/schedule.h
+++ b/src/decision/schedule.h
@@ -110,8 +110,9 @@
 
     /// Merges the virtual times of a message header; called for every message of any type.
     void observe(const std::vector<pool_time>& times);
-    /// Virtual times of the active pools for the own header, at most `max_header_pools`.
-    [[nodiscard]] std::vector<pool_time> virtual_times() const;
+    /// Virtual times of some active pools for the own header, in turn: at most `max_header_pools`, since each
+    /// message carries them.
+    [[nodiscard]] std::vector<pool_time> virtual_times();
 
     /// A running request has cost `spent` so far.
     void progress(const base::request_id& id, base::cost spent, base::time_point now);
@@ -144,7 +145,7 @@
     [[nodiscard]] const permit_owner& owned() const { return owner_; }
 
     static constexpr base::duration tick_interval = std::chrono::milliseconds(10);
-    static constexpr std::size_t max_header_pools = 16;
+    static constexpr std::size_t max_header_pools = 2;
 
 private:
     struct running_request {
@@ -191,6 +192,7 @@
     std::set<base::pool_id> active_;
     schedule_output output_;
     base::time_point now_{};
+    base::pool_id last_told_;
     std::uint64_t loop_sequence_ = 0;
     std::uint64_t unused_ = 0;
     std::uint64_t reused_ = 0;
--- a/src/decision/share.cpp
+++ b/src/decision/share.cpp
@@ -21,6 +21,20 @@
     }
 }
 
+/// Calls `send` for the destinations after `last`, in turn, as far as the limit allows.
+template <typename Value, typename Send>
+void in_turn(const std::map<base::vm_id, Value>& waiting, base::vm_id& last, rate_limit& limit,
+             const Send& send) {
+    auto position = waiting.upper_bound(last);
+    for (std::size_t i = 0; i < waiting.size() && limit.available(); ++i) {
+        position = position == waiting.end() ? waiting.begin() : position;
+        limit.take();
+        last = position->first;
+        send(position->first, position->second);
+        ++position;
+    }
+}
+
 } // namespace
 
 void share::configure(std::shared_ptr<const fleet_config> config) {
@@ -167,7 +181,8 @@
 }
 
 bool share::report_due(const share_key& key, const account_state& state, base::time_point now) const {
-    if (state.backlogged != state.home_backlogged || now - state.reported >= options_.small_change_interval) {
+    const bool told_late = state.backlogged != state.home_backlogged;
+    if (now - state.reported >= (told_late ? options_.repeat_interval : options_.small_change_interval)) {
         return true;
     }
     const auto pool = config_->pools.find(key.pool);
@@ -178,27 +193,30 @@
 
 std::vector<outgoing> share::collect(const home_of& home, base::time_point now) {
     std::vector<outgoing> messages;
-    std::map<base::vm_id, std::vector<usage_entry>> entries;
-    const std::function<void(const share_key&, account_state&)> report = [&](const share_key& key,
-                                                                             account_state& state) {
-        state.reported = now;
-        state.reported_total = state.own_total;
-        entries[home(key)].push_back(report_of(key, state));
-    };
+    std::map<base::vm_id, std::vector<share_key>> due;
     if (now - last_report_ >= options_.report_interval) {
         last_report_ = now;
         for (const share_key& key : dirty_) {
-            account_state& state = accounts_[key];
-            if (urgent_.count(key) > 0 || report_due(key, state, now)) {
-                report(key, state);
+            if (urgent_.count(key) > 0 || report_due(key, accounts_[key], now)) {
+                due[home(key)].push_back(key);
             }
         }
     } else {
         for (const share_key& key : urgent_) {
-            report(key, accounts_[key]);
+            due[home(key)].push_back(key);
         }
     }
-    urgent_.clear();
+    std::map<base::vm_id, std::vector<usage_entry>> entries;
+    limit_.refill(now);
+    in_turn(due, last_home_, limit_, [&](const base::vm_id& to, const std::vector<share_key>& keys) {
+        for (const share_key& key : keys) {
+            account_state& state = accounts_[key];
+            state.reported = now;
+            state.reported_total = state.own_total;
+            urgent_.erase(key);
+            entries[to].push_back(report_of(key, state));
+        }
+    });
     append_batches<usage>(messages, entries, options_.entries_per_message);
     return messages;
 }
@@ -276,24 +294,32 @@
         return messages;
     }
     last_answer_ = now;
-    std::map<base::vm_id, std::vector<usage_total_entry>> entries;
+    std::map<base::vm_id, std::vector<share_key>> due;
     for (auto position = changed_.begin(); position != changed_.end();) {
-        const share_key& key = *position;
-        account_total& account = accounts_[key];
+        account_total& account = accounts_[*position];
         bool all_told = true;
         for (auto& [member, item] : account.parts) {
-            if (answer_due(key, account, item, now)) {
-                item.answer_due = false;
-                item.answered = now;
-                item.answered_total = account.total;
-                entries[member].push_back(usage_total_entry{key.pool, key.account, account.total,
-                                                            item.counted, item.backlogged,
-                                                            backlogged_beside(account, member)});
+            if (answer_due(*position, account, item, now)) {
+                due[member].push_back(*position);
             }
-            all_told = all_told && (!item.backlogged || item.answered_total == account.total);
+            all_told =
+                all_told && !item.answer_due && (!item.backlogged || item.answered_total == account.total);
         }
         position = all_told ? changed_.erase(position) : std::next(position);
     }
+    std::map<base::vm_id, std::vector<usage_total_entry>> entries;
+    limit_.refill(now);
+    in_turn(due, last_member_, limit_, [&](const base::vm_id& to, const std::vector<share_key>& keys) {
+        for (const share_key& key : keys) {
+            account_total& account = accounts_[key];
+            part& item = account.parts[to];
+            item.answer_due = false;
+            item.answered = now;
+            item.answered_total = account.total;
+            entries[to].push_back(usage_total_entry{key.pool, key.account, account.total, item.counted,
+                                                    item.backlogged, backlogged_beside(account, to)});
+        }
+    });
     append_batches<usage_total>(messages, entries, options_.entries_per_message);
     return messages;
 }
--- a/src/decision/share.h
+++ b/src/decision/share.h
@@ -6,6 +6,7 @@
 #include "decision/config.h"
 #include "decision/message.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -29,18 +30,44 @@
     double report_quantum = 0.25;
     double answer_quantum = 1.0;
     base::duration small_change_interval = std::chrono::seconds(1);
+    /// A report that the home has not answered is repeated after this time.
+    base::duration repeat_interval = std::chrono::milliseconds(300);
     /// Bounds of the ratio of real to hinted cost. The upper bound is wide, since a hint of one token for a
     /// long answer would otherwise still pay off.
     double lowest_hint_factor = 1.0 / 64.0;
     double highest_hint_factor = 1024.0;
     /// Weight that the past keeps in the ratio with each finished request.
     double hint_memory = 0.9;
+    /// Most usage messages, and most answers, that a router sends per second; further ones wait their turn,
+    /// so that control traffic does not grow with the active accounts.
+    double messages_per_second = 16;
     /// Keeps a usage message below the size of a datagram.
     std::size_t entries_per_message = 12;
     /// How long a new home takes the highest total that routers know for the real one.
     base::duration home_learning = std::chrono::seconds(1);
 };
 
+/// Limits a rate, with bursts of one second's worth.
+/// Thread safety: used by one thread.
+class rate_limit {
+public:
+    explicit rate_limit(double per_second) : per_second_(per_second), left_(per_second) {}
+
+    void refill(base::time_point now) {
+        left_ =
+            std::min(per_second_, left_ + per_second_ * std::chrono::duration<double>(now - last_).count());
+        last_ = now;
+    }
+    [[nodiscard]] bool available() const { return left_ >= 1; }
+    /// Takes one; may overdraw by a second's worth.
+    void take() { left_ = std::max(left_ - 1, -per_second_); }
+
+private:
+    double per_second_;
+    double left_;
+    base::time_point last_{};
+};
+
 /// Names one share: an account within a pool.
 struct share_key {
     base::pool_id pool;
@@ -73,7 +100,7 @@
 /// Thread safety: used by one thread.
 class share {
 public:
-    explicit share(const share_options& options) : options_(options) {}
+    explicit share(const share_options& options) : options_(options), limit_(options.messages_per_second) {}
 
     void configure(std::shared_ptr<const fleet_config> config);
 
@@ -147,13 +174,16 @@
     /// Accounts that became backlogged; their reports do not wait, since the home decides on the raise.
     std::set<share_key> urgent_;
     base::time_point last_report_{};
+    rate_limit limit_;
+    /// Homes take turns when the limit holds reports back.
+    base::vm_id last_home_;
 };
 
 /// The home side: adds up the service of the accounts whose home is this router.
 /// Thread safety: used by one thread.
 class home {
 public:
-    explicit home(const share_options& options) : options_(options) {}
+    explicit home(const share_options& options) : options_(options), limit_(options.messages_per_second) {}
 
     /// Merges a report. `virtual_time` raises an account that was idle on all routers.
     void receive(const message_header& header, const usage& body,
@@ -199,6 +229,8 @@
     std::map<base::pool_id, base::cost> default_costs_;
     std::set<share_key> changed_;
     base::time_point last_answer_{};
+    rate_limit limit_;
+    base::vm_id last_member_;
 };
 
 } // namespace bluebell::decision
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -176,3 +176,23 @@
         RC_ASSERT(local.collect([](const share_key&) { return home_vm; }, now + 2s).empty());
     }));
 }
+
+TEST_CASE("homes that do not answer are not asked again and again") {
+    std::shared_ptr<fleet_config> config = config_with(1);
+    share local(share_options{});
+    local.configure(config);
+    for (int i = 0; i < 500; ++i) {
+        local.set_backlogged({key.pool, base::client_account_id("account-" + std::to_string(i))}, true);
+    }
+    std::set<base::vm_id> asked;
+    std::size_t messages = 0;
+    const auto home_of = [](const share_key& of) { return base::vm_id("home-" + of.account.value()); };
+    for (base::time_point now = start; now < start + 40s; now += 10ms) {
+        for (const outgoing& item : local.collect(home_of, now)) {
+            asked.insert(item.to);
+            ++messages;
+        }
+    }
+    CHECK(messages <= 41 * 16);
+    CHECK(asked.size() == 500);
+}
