--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -338,5 +338,5 @@
         bidder.touch(text);
         bids += bidder.collect(current, now).size();
     }
-    CHECK(bids <= 21 * 24);
+    CHECK(bids <= std::size_t{21} * 24);
 }
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -193,6 +193,6 @@
             ++messages;
         }
     }
-    CHECK(messages <= 41 * 16);
+    CHECK(messages <= std::size_t{41} * 16);
     CHECK(asked.size() == 500);
 }
