--- a/src/upstream/attempt.cpp
+++ b/src/upstream/attempt.cpp
@@ -94,6 +94,12 @@
     finish(attempt_status::cancelled, std::nullopt);
 }
 
+void attempt::abandon() {
+    const bool untouched = call_ == nullptr || !call_->touched();
+    finish(untouched ? attempt_status::not_sent : attempt_status::interrupted,
+           error{error_code::worker_failed, "transport", "the transport stopped"});
+}
+
 void attempt::on_head(const decision::answer_head& head) {
     if (ended()) {
         return;
--- a/src/upstream/attempt.h
+++ b/src/upstream/attempt.h
@@ -45,6 +45,8 @@
     /// Called once.
     void start();
     void cancel();
+    /// Ends the attempt because the transport stops or failed.
+    void abandon();
     /// Ends the attempt if a time limit has passed.
     void expire();
     /// The earliest time at which a limit may pass.
--- a/src/upstream/transport.cpp
+++ b/src/upstream/transport.cpp
@@ -67,8 +67,7 @@
         flush_reports();
         take_commands();
         selector_.wait(to_milliseconds(wait_time()));
-        expire();
-        report_progress();
+        tend();
         reap();
     }
     abandon();
@@ -109,22 +108,16 @@
     }
 }
 
-void transport::expire() {
-    const base::time_point now = clock_.now();
-    if (now < next_limit_) {
-        return;
-    }
+void transport::tend() {
+    // One pass over all attempts at each wake-up: a limit can move forward when a connection comes up or the
+    // first byte arrives, so that a kept minimum would miss it.
     next_limit_ = base::time_point::max();
     for (const std::pair<const decision::attempt_key, std::unique_ptr<attempt>>& each : attempts_) {
         each.second->expire();
-        if (!each.second->ended()) {
-            next_limit_ = std::min(next_limit_, each.second->next_limit());
+        if (each.second->ended()) {
+            continue;
         }
-    }
-}
-
-void transport::report_progress() {
-    for (const std::pair<const decision::attempt_key, std::unique_ptr<attempt>>& each : attempts_) {
+        next_limit_ = std::min(next_limit_, each.second->next_limit());
         const std::optional<base::cost> spent = each.second->take_progress();
         if (spent) {
             events_.try_push(decision::attempt_progress{each.first, *spent});
@@ -169,7 +162,7 @@
 
 void transport::abandon() {
     for (const std::pair<const decision::attempt_key, std::unique_ptr<attempt>>& each : attempts_) {
-        each.second->cancel();
+        each.second->abandon();
     }
     reap();
     farewells_.clear();
--- a/src/upstream/transport.h
+++ b/src/upstream/transport.h
@@ -44,8 +44,8 @@
     void take_commands();
     void start(decision::dispatch order);
     void cancel(const decision::attempt_key& key);
-    void expire();
-    void report_progress();
+    /// Checks time limits and reports progress.
+    void tend();
     void reap();
     void retire(attempt& ended);
     void flush_reports();
