Bound stops and large heads at the callers' front end, and test it

Cause: limits were only looked at while no part of an answer arrived, so that a steady stream outlived the limit of a stop. The reply of cxxtools has 4096 bytes for all fields, too few for some services. The look for a caller that left, every 100 ms, took 190 us of processor time per second and waiting request (400 waiting: 7.6% of a core).

Change: deadline and stop limit are checked after each part; heads above 3500 bytes are written directly; the look happens every 250 ms; a caller that is answered at its deadline is reported to the decider as gone.

--- a/src/edge/responder.cpp
+++ b/src/edge/responder.cpp
@@ -18,9 +18,12 @@
 using base::error_code;
 using decision::outcome;
 
-/// How often a waiting request looks whether its caller is still there.
-constexpr base::duration caller_check = std::chrono::milliseconds(100);
+/// How often a waiting request looks whether its caller is still there. A look costs about 19 us; at 100 ms,
+/// 400 waiting requests took 7.6% of a core.
+constexpr base::duration caller_check = std::chrono::milliseconds(250);
 constexpr base::duration notice_timeout = std::chrono::seconds(1);
+/// The reply of cxxtools has 4096 bytes for all fields, of which this router and the server use about 300.
+constexpr std::size_t largest_reply_head = 3500;
 constexpr std::size_t read_size = 16384;
 
 /// Ends the connection without an answer from the server of cxxtools, which writes one unless the socket is
@@ -39,6 +42,14 @@
     return false;
 }
 
+std::size_t field_bytes(const decision::answer_head& head) {
+    std::size_t total = 0;
+    for (const decision::field& each : head.fields) {
+        total += each.name.size() + each.value.size() + 2;
+    }
+    return total;
+}
+
 } // namespace
 
 void caller_responder::beginRequest(cxxtools::net::TcpSocket& socket, std::istream& in,
@@ -156,27 +167,29 @@
 bool caller_responder::wait(progress& now) {
     while (!now.last) {
         std::optional<answer_part> part = now.from->pop(caller_check);
-        if (part) {
-            if (!take(now, *part)) {
-                return false;
-            }
-            continue;
-        }
-        if (peer_closed(*socket_)) {
+        if (part ? !take(now, *part) : peer_closed(*socket_)) {
             return false;
         }
-        const base::time_point time = context_.time.now();
-        if (time >= now.what.deadline + context_.options.grace) {
-            give_up(now, error_code::deadline_exceeded, "the deadline has passed");
-        } else if (context_.events.closed()) {
+        if (!now.last) {
+            check_limits(now);
+        }
+        if (!now.last && !part && context_.events.closed()) {
             give_up(now, error_code::internal_failure, "the router lost its state");
-        } else if (time >= context_.give_up_at.load()) {
-            give_up(now, error_code::draining, "the router is stopping");
         }
     }
     return true;
 }
 
+void caller_responder::check_limits(progress& now) {
+    const base::time_point time = context_.time.now();
+    if (time >= now.what.deadline + context_.options.grace) {
+        give_up(now, error_code::deadline_exceeded, "the deadline has passed");
+        context_.events.try_push(decision::caller_gone{now.what.id});
+    } else if (time >= context_.give_up_at.load()) {
+        give_up(now, error_code::draining, "the router is stopping");
+    }
+}
+
 void caller_responder::give_up(progress& now, error_code code, const char* text) {
     const bool unsent = now.from->give_up();
     now.last = decision::verdict{unsent ? outcome::not_run : outcome::outcome_unknown, error{code, "", text}};
@@ -254,6 +267,9 @@
 }
 
 void caller_responder::write_answer(const progress& now, std::ostream& out, cxxtools::http::Reply& reply) {
+    if (field_bytes(*now.head) > largest_reply_head) {
+        write_directly(now);
+    }
     reply.httpReturn(static_cast<unsigned>(now.head->status), std::string(reason_phrase(now.head->status)));
     reply.setHeader("Outcome", std::string(decision::to_string(now.last->result)).c_str());
     reply.setHeader("Request-Id", base::to_hex(now.what.id.value()).c_str());
@@ -263,6 +279,18 @@
     out << now.body;
 }
 
+void caller_responder::write_directly(const progress& now) {
+    chunk_writer writer(*socket_);
+    std::vector<decision::field> fields = now.head->fields;
+    fields.push_back({"Outcome", std::string(decision::to_string(now.last->result))});
+    fields.push_back({"Request-Id", base::to_hex(now.what.id.value())});
+    if (writer.head(now.head->status, fields) && writer.write(now.body)) {
+        writer.finish();
+    }
+    end_sending(*socket_);
+    throw connection_done();
+}
+
 void caller_responder::write_error(const error& cause, outcome result, const base::request_id& id,
                                    std::ostream& out, cxxtools::http::Reply& reply) {
     const int status = status_of(cause.code);
--- a/src/edge/responder.h
+++ b/src/edge/responder.h
@@ -47,6 +47,8 @@
     void serve(parsed_request& parsed, std::ostream& out, cxxtools::http::Reply& reply);
     /// Waits for the verdict, a caller that leaves, or the time limit. Returns false if the caller is gone.
     bool wait(progress& now);
+    /// Gives up at the deadline and at the limit of a stop.
+    void check_limits(progress& now);
     bool take(progress& now, answer_part& part);
     bool take_bytes(progress& now, const std::string& bytes);
     bool start_stream(progress& now);
@@ -54,6 +56,8 @@
     void leave(progress& now);
     void write_end(progress& now, std::ostream& out, cxxtools::http::Reply& reply);
     void write_answer(const progress& now, std::ostream& out, cxxtools::http::Reply& reply);
+    /// For heads that the reply of cxxtools has no room for. Closes the connection and throws.
+    [[noreturn]] void write_directly(const progress& now);
     void write_error(const base::error& cause, decision::outcome result, const base::request_id& id,
                      std::ostream& out, cxxtools::http::Reply& reply);
     void count(const decision::request& what, const decision::verdict& last) const;
--- a/standin/echo.h
+++ b/standin/echo.h
@@ -3,6 +3,7 @@
 #include "standin/server.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <string>
@@ -63,12 +64,28 @@
             out.write(std::string_view(text).substr(0, *cut));
             close_connection(what);
         }
+        if (what.path.rfind(status_path, 0) == 0) {
+            const int status = std::atoi(what.path.c_str() + status_path.size());
+            what.reply.httpReturn(static_cast<unsigned>(status), std::string(edge::reason_phrase(status)));
+        }
         what.reply.setHeader("Content-Type", "text/plain");
+        if (what.path == "/large-field") {
+            edge::chunk_writer out(what.socket);
+            out.head(200, {{"Large", std::string(large_field, 'f')}});
+            out.write(text);
+            out.finish();
+            edge::end_sending(what.socket);
+            throw connection_closed();
+        }
         return text;
     }
 
 private:
     static constexpr unsigned spare_threads = 8;
+    /// Size of the field in the answer to `/large-field`.
+    static constexpr std::size_t large_field = 6000;
+    /// `/status/N` is answered with status N.
+    inline static const std::string status_path = "/status/";
 
     std::string load() const {
         const std::lock_guard<std::mutex> lock(mutex_);
