Report start failures of the stand-ins as text

Cause: a port in use or a malformed option ended them by an exception.

Change: main prints the cause and returns 1.

Conclusion: scripts can tell why a stand-in did not start.

--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <docopt/docopt.h>
+#include <exception>
 #include <iostream>
 
 namespace {
@@ -23,9 +24,7 @@
   --ignore-fence   Accept orders with an old fencing token.
 )";
 
-} // namespace
-
-int main(int argc, char** argv) {
+int serve(int argc, char** argv) {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGINT);
@@ -47,3 +46,14 @@
     sigwait(&signals, &received);
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return serve(argc, argv);
+    } catch (const std::exception& cause) {
+        std::cerr << "standin-engine: " << cause.what() << '\n';
+        return 1;
+    }
+}
--- a/standin/service.cpp
+++ b/standin/service.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <docopt/docopt.h>
+#include <exception>
 #include <iostream>
 
 namespace {
@@ -18,9 +19,7 @@
   --delay-ms=N    Time per request [default: 10].
 )";
 
-} // namespace
-
-int main(int argc, char** argv) {
+int serve(int argc, char** argv) {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGINT);
@@ -38,3 +37,14 @@
     sigwait(&signals, &received);
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return serve(argc, argv);
+    } catch (const std::exception& cause) {
+        std::cerr << "standin-service: " << cause.what() << '\n';
+        return 1;
+    }
+}
