--- a/bench/messages.cpp
+++ b/bench/messages.cpp
@@ -39,7 +39,7 @@
             ack{10'000'000, 1, {true, {}}, {update}},
             ping_request{10'000'000, update.vm},
             waiting,
-            grant{slot, pool, upstream},
+            grant{slot, pool, upstream, base::normalised_cost(1e9)},
             release{slot, pool, upstream},
             usage{{{pool, account, {}, {}, {}, true}}},
             usage_total{{{pool, account, {}, {}, true, true}}},
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -456,10 +456,19 @@
 
 void put(output& out, const decision::grant& body) {
     put_grant(out, body);
+    put(out, body.other_key.has_value());
+    if (body.other_key) {
+        put(out, *body.other_key);
+    }
 }
 
 void take(input& in, decision::grant& body) {
+    bool has_other_key = false;
     take_grant(in, body);
+    take(in, has_other_key);
+    if (has_other_key) {
+        take(in, body.other_key.emplace());
+    }
 }
 
 void put(output& out, const decision::release& body) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -60,7 +60,7 @@
             decision::ack{77, 2, {true, {}}, {update(3)}},
             decision::ping_request{77, base::vm_id("vm-3")},
             bid,
-            decision::grant{base::grant_id(5), pool, upstream},
+            decision::grant{base::grant_id(5), pool, upstream, base::normalised_cost(3.5)},
             decision::release{base::grant_id(5), pool, upstream, true},
             decision::usage{{{pool, account, base::normalised_cost(10.5), base::normalised_cost(99.0),
                               base::normalised_cost(8.5), true}}},
@@ -123,6 +123,8 @@
     CHECK(entry.backlogged);
     const auto total = codec.decode(encoded(codec, envelope(samples()[7]))).value();
     CHECK(std::get<decision::usage_total>(total.body).entries.at(0).others_backlogged);
+    const auto grant = codec.decode(encoded(codec, envelope(samples()[4]))).value();
+    CHECK(std::get<decision::grant>(grant.body).other_key == base::normalised_cost(3.5));
     const auto release = codec.decode(encoded(codec, envelope(samples()[5]))).value();
     CHECK(std::get<decision::release>(release.body).unused);
     const auto result = codec.decode(encoded(codec, envelope(samples()[9]))).value();
@@ -169,13 +171,13 @@
 TEST_CASE("lengths beyond the bounds are refused though the bytes are there") {
     const fleet::codec codec(fleet_name);
     const std::string longest(128, 'x');
-    const decision::grant body{{}, base::pool_id(longest), base::upstream_id(longest)};
+    const decision::grant body{{}, base::pool_id(longest), base::upstream_id(longest), std::nullopt};
     decision::envelope what = envelope(body);
     what.header.virtual_times.clear();
     std::string names = encoded(codec, what);
-    const std::size_t pool = names.size() - 2 * (longest.size() + 1);
+    const std::size_t pool = names.size() - 2 * (longest.size() + 1) - 1; // a flag follows the names
     names[pool] = static_cast<char>(200);
-    names[pool + 201] = 56; // the second name ends with the datagram again
+    names[pool + 201] = 56; // the second name ends where it did
     CHECK(codec.decode(names).error().code == error_code::message_malformed);
     const std::string none = encoded(codec, what);
     what.header.virtual_times.assign(16, {base::pool_id(""), base::normalised_cost(0.0)});
@@ -248,8 +250,9 @@
         good.push_back(encoded(codec, envelope(body)));
     }
     const std::string longest(128, 'x');
-    good.push_back(
-        encoded(codec, envelope(decision::grant{{}, base::pool_id(longest), base::upstream_id(longest)})));
+    good.push_back(encoded(
+        codec,
+        envelope(decision::grant{{}, base::pool_id(longest), base::upstream_id(longest), std::nullopt})));
     decision::envelope full = envelope(samples()[0]);
     full.header.virtual_times.assign(16, {base::pool_id(""), base::normalised_cost(1.0)});
     good.push_back(encoded(codec, full));
