Test membership under random schedules of faults

Cause: the earlier cases inject one kind of fault at a time. Change: 60 seeded schedules of 40 steps on 2 to 40 routers mix kills, restarts with empty memory, pauses, partitions, cut links, loss, duplication and lagging lists; after the end all live routers must agree within 20 periods and stay so. Conclusion: the mechanisms hold in combination.

--- a/tests/member_test.cpp
+++ b/tests/member_test.cpp
@@ -1,7 +1,9 @@
 #include "decision/member.h"
 #include "tests/network.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 #include <set>
 
 using namespace bluebell;
@@ -71,6 +73,66 @@
     return true;
 }
 
+std::set<std::size_t> random_side(std::size_t count, std::mt19937_64& random) {
+    std::set<std::size_t> side;
+    for (std::size_t i = 0; i < count; ++i) {
+        if (random() % 2 == 0) {
+            side.insert(i);
+        }
+    }
+    return side;
+}
+
+void inject_fault(member_network& fleet, std::mt19937_64& random) {
+    const std::size_t count = fleet.nodes().size();
+    const std::size_t index = random() % count;
+    member_network::node& node = fleet.at(index);
+    switch (random() % 8) {
+    case 0:
+        fleet.kill(index);
+        break;
+    case 1:
+        fleet.start(index); // also restarts a running one with empty memory
+        break;
+    case 2:
+        if (node.table && !node.paused) {
+            fleet.pause(index);
+        }
+        break;
+    case 3:
+        if (node.table && node.paused) {
+            fleet.resume(index);
+        }
+        break;
+    case 4:
+        fleet.partition(random_side(count, random));
+        break;
+    case 5:
+        fleet.heal();
+        fleet.cut(index, random() % count);
+        break;
+    case 6:
+        fleet.network().loss = static_cast<double>(random() % 40) / 100;
+        fleet.network().duplication = static_cast<double>(random() % 40) / 100;
+        break;
+    default:
+        fleet.show_list(random_side(count, random));
+        break;
+    }
+}
+
+/// Dead routers stay dead and listed.
+void end_faults(member_network& fleet) {
+    fleet.heal();
+    fleet.network() = {};
+    fleet.show_list({});
+    for (std::size_t i = 0; i < fleet.nodes().size(); ++i) {
+        if (fleet.at(i).table && fleet.at(i).paused) {
+            fleet.resume(i);
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("a dead router does not keep its ownership beyond probe, suspicion and spreading") {
@@ -236,6 +298,29 @@
     CHECK(table.receive(what, fleet.now()).error().code == base::error_code::message_unknown_sender);
 }
 
+TEST_CASE("no schedule of faults keeps the live routers from agreeing after its end") {
+    constexpr std::uint64_t schedules = 60;
+    base::duration longest{};
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        std::mt19937_64 random(seed);
+        member_network fleet(2 + random() % 39, seed);
+        fleet.start_all();
+        for (int step = 0; step < 40; ++step) {
+            inject_fault(fleet, random);
+            fleet.run(std::chrono::milliseconds(random() % 2000));
+        }
+        end_faults(fleet);
+        INFO("seed " << seed << " with " << fleet.nodes().size() << " routers");
+        const base::duration took = fleet.run_until(60s, [&] { return fleet.agreed(); });
+        longest = std::max(longest, took);
+        CHECK(took <= 20 * period);
+        fleet.run(10s);
+        CHECK(fleet.agreed());
+    }
+    INFO("longest " << std::chrono::duration<double>(longest).count() << " s");
+    CHECK(longest <= 20 * period);
+}
+
 TEST_CASE("a table that stays different from its peers' is repaired") {
     member_network fleet = started(3, 24);
     decision::member& table = *fleet.at(0).table;
