--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -458,18 +458,16 @@
     put_grant(out, body);
     put(out, body.other_key.has_value());
     if (body.other_key) {
-        put(out, body.other_key->value());
+        put(out, *body.other_key);
     }
 }
 
 void take(input& in, decision::grant& body) {
+    bool has_other_key = false;
     take_grant(in, body);
-    bool has_key = false;
-    take(in, has_key);
-    if (has_key) {
-        double key = 0;
-        take(in, key);
-        body.other_key = base::normalised_cost(key);
+    take(in, has_other_key);
+    if (has_other_key) {
+        take(in, body.other_key.emplace());
     }
 }
 
