Test racing operators over HTTP and the 3 s limit of a withdrawal

Change: four threads publish 20 notes over HTTP while answers get lost; a property of 1,000 seeded schedules checks that no router sends to a withdrawn upstream 3 s after the withdrawal, whatever it reads, hears or misses.

--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -352,6 +352,46 @@
     CHECK(ok);
 }
 
+TEST_CASE("no router sends to a withdrawn upstream 3 s after the withdrawal, whatever it hears or misses") {
+    // All routers know that the upstream is departing (revision 3); revision 4 withdraws it.
+    struct router {
+        confirmation state;
+        revision in_force{3};
+    };
+    const bool ok = tests::holds(
+        15,
+        [] {
+            std::vector<router> routers(5);
+            base::time_point now = start;
+            const base::time_point withdrawn = start + std::chrono::milliseconds(*rc::gen::inRange(0, 10000));
+            const int steps = *rc::gen::inRange(1, 80);
+            for (int i = 0; i < steps; ++i) {
+                now += std::chrono::milliseconds(*rc::gen::inRange(0, 700));
+                router& receiver = routers[*rc::gen::inRange<std::size_t>(0, 5)];
+                receiver.state.set_known_peers(4);
+                if (*rc::gen::inRange(0, 4) == 0) {
+                    // The read was sent a while before its answer arrived.
+                    const base::time_point read_at =
+                        now - std::chrono::milliseconds(*rc::gen::inRange(0, 1000));
+                    const revision head(read_at < withdrawn ? 3 : 4);
+                    receiver.in_force = std::max(receiver.in_force, head);
+                    receiver.state.read({head, nullptr, config_source::store, read_at}, receiver.in_force);
+                } else {
+                    const router& sender = routers[*rc::gen::inRange<std::size_t>(0, 5)];
+                    receiver.state.heard(now, sender.in_force, sender.state.age(now), receiver.in_force);
+                }
+                for (const router& any : routers) {
+                    const bool sends =
+                        any.in_force == revision(3) &&
+                        any.state.may_send(departing_upstream(), now) == send_permission::allowed;
+                    RC_ASSERT(!sends || now < withdrawn + 3s);
+                }
+            }
+        },
+        1000);
+    CHECK(ok);
+}
+
 TEST_CASE("a router orders a read before a limit expires, and not more often than the interval") {
     confirmation state;
     state.read(store_read(3, 3, start), revision(3));
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 #include <functional>
+#include <thread>
+#include <vector>
 
 using namespace bluebell;
 using namespace bluebell::platform;
@@ -37,17 +39,21 @@
     return {"127.0.0.1", port};
 }
 
+decision::release_note add_account(const std::string& name) {
+    decision::release_note note;
+    note.author = base::operator_id("ingrid");
+    decision::account_change item;
+    item.id = base::client_account_id(name);
+    note.accounts.push_back(item);
+    return note;
+}
+
 /// Publishes a note that adds one client account; returns the release.
 std::shared_ptr<const config_image> publish(std::uint16_t port, const std::string& account) {
     http_object_store store(at(port), test_limits);
     no_routers routers;
     publisher writer(store, routers, no_pause);
-    decision::release_note note;
-    note.author = base::operator_id("ingrid");
-    decision::account_change item;
-    item.id = base::client_account_id(account);
-    note.accounts.push_back(item);
-    REQUIRE(writer.publish(note, base::change_id("c-" + account)));
+    REQUIRE(writer.publish(add_account(account), base::change_id("c-" + account)));
     return *writer.read();
 }
 
@@ -187,6 +193,45 @@
     CHECK(router.await_release(2, decision::config_source::store));
 }
 
+TEST_CASE("operators who race over connections that lose answers apply each change exactly once") {
+    standin::object_server server(0);
+    constexpr std::size_t operators = 4;
+    constexpr std::size_t changes = 5;
+    std::atomic<int> unexpected{0};
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < operators; ++i) {
+        threads.emplace_back([&, i] {
+            http_object_store store(at(server.port()), test_limits);
+            no_routers routers;
+            publisher writer(store, routers, {20, 1ms});
+            for (std::size_t c = 0; c < changes;) {
+                standin::object_fault fault;
+                fault.lose_answers = 1;
+                fault.writes_per_s = 100000;
+                fault.reads_per_s = 100000;
+                server.table().inject(fault);
+                const std::string name = std::to_string(i) + '-' + std::to_string(c);
+                const auto result = writer.publish(add_account(name), base::change_id(name));
+                if (result) {
+                    ++c;
+                } else if (result.error().front().code != base::error_code::note_conflict) {
+                    ++unexpected;
+                    return;
+                }
+            }
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    CHECK(unexpected == 0);
+    http_object_store store(at(server.port()), test_limits);
+    no_routers routers;
+    const std::shared_ptr<const config_image> last = *publisher(store, routers, no_pause).read();
+    CHECK(last->head.rev == revision(operators * changes));
+    CHECK(last->config->accounts.size() == operators * changes);
+}
+
 TEST_CASE("stale reads and old peers never bring back an older configuration") {
     standin::object_server server(0);
     const std::string old_peer = render_config(*publish(server.port(), "a"));
