Test a lease write that lands after a later read

Cause: switching off the number that makes each lease write distinct was not noticed by the schedules.

Change: a directed test; a write that lands between a read and its late answer must not be taken for the next write.

Measurement: lease_test passes (6 cases); it fails at that case when all writes have the same number.

Not noticed when switched off: the check of record counts against the object size behind a valid checksum.

Conclusion: no violation is known.

--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -140,6 +140,30 @@
     CHECK_FALSE(a.holds());
 }
 
+TEST_CASE("a write that lands late is not taken for a later one, whose term would count from later") {
+    base::manual_clock clock;
+    test::fake_store store;
+    contender a("a", 1, store, clock);
+    a.want(true);
+    a.store_step();
+    a.answer_step();
+    store.faults.delayed = 1;
+    a.store_step(); // the acquisition is on its way, its answer is lost
+    a.answer_step();
+    store.faults.delayed = 0;
+    clock.advance(500ms);
+    a.tick();
+    a.store_step(); // the read comes before the write lands, its answer after
+    store.land();
+    clock.advance(3s);
+    a.answer_step();
+    a.store_step();
+    a.answer_step();
+    CHECK_FALSE(a.holds());
+    a.settle();
+    CHECK(a.holds());
+}
+
 TEST_CASE("two routers never act on a lease at once under pauses, lost answers and late writes") {
     std::size_t acquisitions = 0;
     for (std::uint32_t seed = 1; seed <= 2000; ++seed) {
