--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -60,7 +60,7 @@
             decision::ack{77, 2, {true, {}}, {update(3)}},
             decision::ping_request{77, base::vm_id("vm-3")},
             bid,
-            decision::grant{base::grant_id(5), pool, upstream, base::normalised_cost(3.5)},
+            decision::grant{base::grant_id(5), pool, upstream, base::normalised_cost(12.5)},
             decision::release{base::grant_id(5), pool, upstream, true},
             decision::usage{{{pool, account, base::normalised_cost(10.5), base::normalised_cost(99.0),
                               base::normalised_cost(8.5), true}}},
@@ -124,7 +124,7 @@
     const auto total = codec.decode(encoded(codec, envelope(samples()[7]))).value();
     CHECK(std::get<decision::usage_total>(total.body).entries.at(0).others_backlogged);
     const auto grant = codec.decode(encoded(codec, envelope(samples()[4]))).value();
-    CHECK(std::get<decision::grant>(grant.body).other_key == base::normalised_cost(3.5));
+    CHECK(std::get<decision::grant>(grant.body).other_key == base::normalised_cost(12.5));
     const auto release = codec.decode(encoded(codec, envelope(samples()[5]))).value();
     CHECK(std::get<decision::release>(release.body).unused);
     const auto result = codec.decode(encoded(codec, envelope(samples()[9]))).value();
