Bound retries by the greater of share and rate; clear innocent crash reports

Cause: the budget added one retry a second to the tenth that the design allows; requests running beside a poison request were blamed for its crashes; a flood of bodies that crashed once could push out a blocked one (review by reading).

Change: retry_budget counts over a sliding window of 10 s; crash_table forgets reports of a body that completed and drops unblocked entries first.

--- a/src/decision/lifecycle.cpp
+++ b/src/decision/lifecycle.cpp
@@ -94,6 +94,8 @@
     schedule_.end(ended.what.id, what.how.spent, now);
     if (what.how.status == attempt_status::interrupted) {
         report_crash(ended, now);
+    } else if (what.how.status == attempt_status::completed) {
+        crashes_.completed(ended.what.body_fingerprint, now);
     }
     const next_step step = ended.stream.end(what.how, ended.what.repeatable);
     const bool again = step.what == next_step::kind::retry && !ended.caller_left &&
--- a/src/decision/retry.cpp
+++ b/src/decision/retry.cpp
@@ -4,29 +4,37 @@
 
 namespace bluebell::decision {
 
-retry_budget::bucket& retry_budget::refill(const base::pool_id& pool, base::time_point now) {
-    const auto [found, added] = buckets_.try_emplace(pool, bucket{settings_.burst, now});
-    bucket& pool_bucket = found->second;
-    if (!added) {
-        const double elapsed_s = std::chrono::duration<double>(now - pool_bucket.filled).count();
-        pool_bucket.tokens =
-            std::min(settings_.burst, pool_bucket.tokens + elapsed_s * settings_.minimum_per_s);
-        pool_bucket.filled = now;
+retry_budget::history& retry_budget::advance(const base::pool_id& pool, base::time_point now) {
+    history& counted = pools_[pool];
+    const std::chrono::seconds second =
+        std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch());
+    while (!counted.empty() && second - counted.front().second >= window) {
+        counted.pop_front();
     }
-    return pool_bucket;
+    if (counted.empty() || counted.back().second != second) {
+        counted.push_back({second, 0, 0});
+    }
+    return counted;
 }
 
 void retry_budget::first_attempt(const base::pool_id& pool, base::time_point now) {
-    bucket& pool_bucket = refill(pool, now);
-    pool_bucket.tokens = std::min(settings_.burst, pool_bucket.tokens + settings_.ratio);
+    ++advance(pool, now).back().first_attempts;
 }
 
 bool retry_budget::take(const base::pool_id& pool, base::time_point now) {
-    bucket& pool_bucket = refill(pool, now);
-    if (pool_bucket.tokens < 1.0) {
+    history& counted = advance(pool, now);
+    std::uint64_t first_attempts = 0;
+    std::uint64_t retries = 0;
+    for (const cell& each : counted) {
+        first_attempts += each.first_attempts;
+        retries += each.retries;
+    }
+    const double allowed = std::max(settings_.ratio * static_cast<double>(first_attempts),
+                                    settings_.minimum_per_s * static_cast<double>(window.count()));
+    if (static_cast<double>(retries) + 1.0 > allowed) {
         return false;
     }
-    pool_bucket.tokens -= 1.0;
+    ++counted.back().retries;
     return true;
 }
 
@@ -41,12 +49,28 @@
         crash->second = now;
     }
     if (order_.size() > settings_.capacity) {
-        entries_.erase(order_.front());
-        order_.pop_front();
+        drop_one(now);
     }
     return unknown;
 }
 
+/// A flood of bodies that crashed once must not push a blocked one out.
+void crash_table::drop_one(base::time_point now) {
+    const auto found = std::find_if(order_.begin(), order_.end(),
+                                    [&](const base::fingerprint& body) { return !blocked(body, now); });
+    const auto dropped = found == order_.end() ? order_.begin() : found;
+    entries_.erase(*dropped);
+    order_.erase(dropped);
+}
+
+void crash_table::completed(const base::fingerprint& body, base::time_point now) {
+    if (entries_.count(body) == 0 || blocked(body, now)) {
+        return;
+    }
+    entries_.erase(body);
+    order_.erase(std::remove(order_.begin(), order_.end(), body), order_.end());
+}
+
 bool crash_table::blocked(const base::fingerprint& body, base::time_point now) const {
     return reports(body, now).size() >= settings_.distinct_upstreams;
 }
--- a/src/decision/retry.h
+++ b/src/decision/retry.h
@@ -17,12 +17,11 @@
     double ratio = 0.1;
     /// Retries a second that are always allowed, so that a quiet pool can retry at all.
     double minimum_per_s = 1.0;
-    /// Retries that can be saved up.
-    double burst = 10.0;
 };
 
-/// Limits the retries of each pool to a share of its first attempts, so that a failing pool is not loaded
-/// further by retries. Thread safety: used by one thread.
+/// Limits the retries of each pool to the greater of a share of its first attempts and a fixed rate, counted
+/// over a sliding window, so that a failing pool is not loaded further by retries.
+/// Thread safety: used by one thread.
 class retry_budget {
 public:
     explicit retry_budget(retry_settings settings) : settings_(settings) {}
@@ -31,15 +30,20 @@
     /// Takes one retry from the budget; false if none is left.
     [[nodiscard]] bool take(const base::pool_id& pool, base::time_point now);
 
+    static constexpr std::chrono::seconds window{10};
+
 private:
-    struct bucket {
-        double tokens = 0;
-        base::time_point filled;
+    /// Counts of one second.
+    struct cell {
+        std::chrono::seconds second{};
+        std::uint64_t first_attempts = 0;
+        std::uint64_t retries = 0;
     };
-    bucket& refill(const base::pool_id& pool, base::time_point now);
+    using history = std::deque<cell>;
+    history& advance(const base::pool_id& pool, base::time_point now);
 
     retry_settings settings_;
-    std::map<base::pool_id, bucket> buckets_;
+    std::map<base::pool_id, history> pools_;
 };
 
 struct crash_settings {
@@ -47,7 +51,7 @@
     std::size_t distinct_upstreams = 2;
     /// How long reports count, and how long a block lasts.
     base::duration memory = std::chrono::minutes(10);
-    /// Fingerprints remembered; the oldest is dropped first.
+    /// Fingerprints remembered; the oldest that is not blocked is dropped first.
     std::size_t capacity = 4096;
 };
 
@@ -60,6 +64,9 @@
 
     /// Takes a report. Returns true if it was not known yet, so that it is to be passed on to peers.
     bool report(const crash_report& what, base::time_point now);
+    /// A request with this body ran to its end, so it was not the cause of earlier crashes: requests that run
+    /// beside a poison request lose their connection as well. A block stays.
+    void completed(const base::fingerprint& body, base::time_point now);
     [[nodiscard]] bool blocked(const base::fingerprint& body, base::time_point now) const;
     /// Reports of a fingerprint that still count, for a peer that is about to run it.
     [[nodiscard]] std::vector<crash_report> reports(const base::fingerprint& body,
@@ -71,6 +78,7 @@
     struct entry {
         std::map<base::upstream_id, base::time_point> crashes;
     };
+    void drop_one(base::time_point now);
     [[nodiscard]] bool counts(base::time_point reported, base::time_point now) const {
         return now - reported < settings_.memory;
     }
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -76,23 +76,49 @@
 }
 
 TEST_CASE("a failing pool gets at most a tenth of its first attempts as retries") {
-    retry_budget budget({0.1, 0.0, 10.0});
+    retry_budget budget({0.1, 1.0});
     int allowed = 0;
     for (int i = 0; i < 1000; ++i) {
         budget.first_attempt(text, start);
         allowed += budget.take(text, start) ? 1 : 0;
     }
-    CHECK(allowed <= 1000 / 10 + 10); // the share plus the initial burst
-    CHECK(allowed >= 1000 / 10);
+    CHECK(allowed == 100);
 }
 
-TEST_CASE("a quiet pool can still retry once a second") {
-    retry_budget budget({0.1, 1.0, 2.0});
-    while (budget.take(text, start)) {
+TEST_CASE("a quiet pool can still retry once a second, and no more") {
+    retry_budget budget({0.1, 1.0});
+    int allowed = 0;
+    for (int second = 0; second < 100; ++second) {
+        for (int i = 0; i < 5; ++i) {
+            allowed += budget.take(text, start + std::chrono::seconds(second)) ? 1 : 0;
+        }
+    }
+    CHECK(allowed == 100);
+}
+
+TEST_CASE("requests beside a poison request are not blocked once they completed elsewhere") {
+    crash_table table({});
+    const base::fingerprint innocent(9);
+    table.report({innocent, first}, start);
+    table.completed(innocent, start);
+    table.report({innocent, second}, start);
+    CHECK_FALSE(table.blocked(innocent, start));
+    table.report({innocent, first}, start);
+    REQUIRE(table.blocked(innocent, start));
+    table.completed(innocent, start); // a block stays
+    CHECK(table.blocked(innocent, start));
+}
+
+TEST_CASE("a flood of bodies that crashed once does not push out a blocked one") {
+    crash_table table({2, 10min, 16});
+    const base::fingerprint poison(1);
+    table.report({poison, first}, start);
+    table.report({poison, second}, start);
+    for (std::uint64_t i = 100; i < 1000; ++i) {
+        table.report({base::fingerprint(i), first}, start);
     }
-    CHECK_FALSE(budget.take(text, start + 500ms));
-    CHECK(budget.take(text, start + 1s));
-    CHECK_FALSE(budget.take(text, start + 1s));
+    CHECK(table.blocked(poison, start));
+    CHECK(table.size() == 16);
 }
 
 TEST_CASE("a request that crashed two upstreams is blocked, also when a peer saw one of the crashes") {
