Test next lives, adopted slots and slots in a partition directly

Cause: with these mechanisms switched off the network tests still passed, because lists and questions repair the state a second later.

Change: four tests look at the owner right after the event.

Conclusion: each mechanism now has a test of its own.

--- a/tests/schedule_test.cpp
+++ b/tests/schedule_test.cpp
@@ -572,6 +572,77 @@
     check_all_returned(net, 10s);
 }
 
+TEST_CASE("a new router takes the virtual time from the first header it hears") {
+    network net(2, 1, 1, 10);
+    schedule& node = *net.nodes[0];
+    node.observe({pool_time{text, base::normalised_cost(1000)}});
+    net.gate.closed.insert(base::upstream_id("worker-0"));
+    net.submit(0, "a", 100, 100);
+    CHECK(node.shares().normalised({text, base::client_account_id("a")}).value() == 1000);
+}
+
+TEST_CASE("the slots of a router come back at once when its next life is heard") {
+    network net(2, 1, 2, 11);
+    net.run(300ms);
+    schedule& owner = *net.nodes[net.owner_of(base::upstream_id("worker-0"))];
+    message_header header;
+    header.sender = vm(1 - net.owner_of(base::upstream_id("worker-0")));
+    header.life = base::incarnation(7);
+    bid work;
+    work.pool = text;
+    work.waiting = 2;
+    work.sequence = 1;
+    owner.receive(header, work, net.now);
+    CHECK(owner.owned().outstanding() == 2);
+    header.life = base::incarnation(8);
+    owner.receive(header, usage{}, net.now);
+    CHECK(owner.owned().outstanding() == 0);
+    header.life = base::incarnation(7);
+    work.sequence = 2;
+    owner.receive(header, work, net.now);
+    CHECK(owner.owned().outstanding() == 0);
+    header.life = base::incarnation(8);
+    owner.receive(header, work, net.now);
+    CHECK(owner.owned().outstanding() == 2);
+    schedule_members alone;
+    alone.listed = 2;
+    alone.live = {vm(net.owner_of(base::upstream_id("worker-0")))};
+    owner.set_members(alone, net.now);
+    CHECK(owner.owned().outstanding() == 0);
+}
+
+TEST_CASE("slots go back to their owner after each request in a partition, since its share may shrink") {
+    for (const bool cut : {false, true}) {
+        network net(3, 4, 2, 13);
+        net.group[2] = cut ? 1 : 0;
+        net.learn_members();
+        net.run(3s, [&] { refill(net, "a", 20, 0, 1); });
+        std::string reused;
+        for (const state_value& item : net.nodes[0]->report()) {
+            reused = item.name == "grants_reused" ? item.json : reused;
+        }
+        CHECK((reused == "0") == cut);
+    }
+}
+
+TEST_CASE("a router that becomes the owner of an upstream counts the slots that it uses there itself") {
+    network net(2, 1, 2, 12);
+    net.run(300ms);
+    const std::size_t first = net.owner_of(base::upstream_id("worker-0"));
+    const std::size_t second = 1 - first;
+    net.submit(second, "a", 400, 400);
+    net.run(10ms);
+    REQUIRE(net.running()[base::upstream_id("worker-0")] == 1);
+    schedule_members members;
+    members.listed = 2;
+    members.live = {vm(0), vm(1)};
+    members.owners = {vm(second)};
+    net.nodes[second]->set_members(members, net.now);
+    CHECK(net.nodes[second]->owned().used(base::upstream_id("worker-0")) == 1);
+    net.run(1s);
+    CHECK(net.nodes[second]->owned().used(base::upstream_id("worker-0")) == 0);
+}
+
 TEST_CASE("requests are refused with a type and leave nothing behind") {
     network net(1, 1, 1, 8);
     schedule& node = *net.nodes[0];
