Do not take grants back on a part of a divided bid

Cause: a bid whose list of held grants does not fit into a datagram is divided; the owner took each part for the whole list and dropped the second part for its equal sequence (found by review).

Change: permit_owner takes nothing back while held_complete is false and accepts parts of one sequence.

Measurement: the new case of permit_test fails without the change and passes with it; all other cases pass.

Conclusion: routers with many running requests keep their grants.

--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -112,7 +112,7 @@
 }
 
 /// Makes the table agree with the list of a bidder: grants that it lists count, grants that it had time to
-/// list and does not have are free.
+/// list and does not have are free. One part of a divided list does not show what the bidder lacks.
 void permit_owner::repair(const base::vm_id& from, const bid& body, base::time_point now) {
     std::set<base::grant_id> listed;
     for (const held_grant& held : body.held) {
@@ -126,6 +126,9 @@
             adopt(from, held, body.pool, now);
         }
     }
+    if (!body.held_complete) {
+        return;
+    }
     std::vector<base::grant_id> gone;
     for (const base::grant_id& id : by_holder_[from]) {
         const outstanding_grant& item = grants_.at(id);
@@ -159,7 +162,9 @@
         return;
     }
     standing_bid& standing = bids_[body.pool][from];
-    if (life < standing.life || (life == standing.life && body.sequence <= standing.sequence)) {
+    // The parts of a divided bid have the same sequence.
+    const bool repeated = body.sequence == standing.sequence && body.held_complete;
+    if (life < standing.life || (life == standing.life && (body.sequence < standing.sequence || repeated))) {
         return;
     }
     repair(from, body, now);
--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -146,6 +146,23 @@
     CHECK(owner.used(worker) == 0);
 }
 
+TEST_CASE("a list that was divided over several datagrams takes no grant in use back") {
+    permit_owner owner = owner_with(2);
+    owner.receive(near, life, bid_of(1, 2, 1), start);
+    const decided_grant first = *next(owner);
+    const decided_grant second = *next(owner);
+    for (const base::grant_id id : {first.what.id, second.what.id}) {
+        bid part = bid_of(1, 1, 2, {{id, worker}});
+        part.held_complete = false;
+        owner.receive(near, life, part, start + 1s);
+    }
+    CHECK_FALSE(next(owner, start + 1s));
+    CHECK(owner.used(worker) == 2);
+    // Both parts were read: neither grant is in question afterwards.
+    owner.receive(near, life, bid_of(1, 1, 3, {{first.what.id, worker}}), start + 2s);
+    CHECK(owner.used(worker) == 1);
+}
+
 TEST_CASE("a list that was sent before a release does not take the slot again") {
     permit_owner owner = owner_with(1);
     owner.receive(near, life, bid_of(1, 1, 1), start);
