Keep grants that a former owner repeats off its list

Cause: `permit_bidder::hold` put a repeated grant on the list of its sender although it had moved to another owner; `drop` cleared the list of the present owner only, so the next bid looked up a grant that was gone and the decider ended with std::out_of_range.

--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -446,10 +446,11 @@
     if (ended_.contains(what.id)) {
         return grant_state::ended;
     }
-    const bool created = held_.emplace(what.id, held_state{what, from}).second;
+    const auto [position, created] = held_.emplace(what.id, held_state{what, from});
     const auto pool = pools_.find(what.pool);
     if (pool != pools_.end()) {
-        const auto owner = pool->second.owners.find(from);
+        // A former owner may repeat a grant that has moved on; `drop` clears the list of the present one only.
+        const auto owner = pool->second.owners.find(position->second.owner);
         if (owner != pool->second.owners.end()) {
             owner->second.held.insert(what.id);
             owner->second.unconfirmed = true;
--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -285,6 +285,21 @@
     CHECK(bidder.drop(given.id, start).value().empty());
 }
 
+TEST_CASE("a grant that a former owner repeats does not stay on a list after its end") {
+    permit_bidder bidder(self, permit_options{});
+    upstream other = worker_with(1);
+    other.id = base::upstream_id("other");
+    bidder.set_owners({{worker, worker_with(1)}, {other.id, other}}, {{worker, near}, {other.id, far}});
+    const grant given{base::grant_id(5), text, worker, std::nullopt};
+    CHECK(bidder.hold(near, given) == grant_state::taken);
+    CHECK(bidder.hold(far, given) == grant_state::held);
+    CHECK(bidder.drop(given.id, start) == near);
+    const permit_bidder::demand_of current = [](const base::pool_id&) { return local_work(1); };
+    for (const outgoing& item : bidder.collect(current, start + 1s)) {
+        CHECK(std::get<bid>(item.body).held.empty());
+    }
+}
+
 TEST_CASE("the number of bids does not grow with the number of owners") {
     permit_bidder bidder(self, permit_options{});
     std::map<base::upstream_id, upstream> upstreams;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -55,7 +55,9 @@
     std::vector<event> unread;
     std::set<attempt_key> running;
     base::incarnation life;
-    base::revision highest;
+    std::shared_ptr<const fleet_config> in_force;
+    base::time_point next_read;
+    bool watching = false;
     bool paused = false;
     bool cut = false;
     bool store_cut = false;
@@ -91,7 +93,9 @@
         kill(index);
         at.life = base::incarnation(++starts_);
         at.paused = false;
-        at.highest = {};
+        at.in_force.reset();
+        at.next_read = clock.now() + 30s;
+        at.watching = false;
         router_options options;
         options.self = options.member.self = at.id;
         options.life = options.member.life = at.life;
@@ -119,10 +123,28 @@
             }
         }
     }
+    /// From the store, or from a peer when the store does not answer.
+    void read_release(std::size_t index, const std::optional<endpoint>& peer = {}) {
+        nodes_[index].next_read = clock.now() + 30s;
+        if (!store.faults.outage && !nodes_[index].store_cut) {
+            tell_after(20ms, index, release_read{config_->rev, config_, config_source::store, clock.now()});
+        } else if (peer) {
+            const node& from = nodes_[index_of(*peer)];
+            if (from.in_force && from.decisions && !from.paused && !from.cut && !nodes_[index].cut) {
+                tell_after(20ms, index,
+                           release_read{from.in_force->rev, from.in_force, config_source::peer, clock.now()});
+            }
+        }
+    }
     void publish(const std::function<void(fleet_config&)>& change) {
         config_ = std::make_shared<fleet_config>(*config_);
         config_->rev += base::revision(1);
         change(*config_);
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            if (nodes_[i].watching) {
+                read_release(i);
+            }
+        }
     }
 
     sent_request send(std::size_t index, std::optional<std::uint64_t> key = {}, std::uint64_t body = 0,
@@ -176,6 +198,9 @@
                 if (nodes_[i].decisions && !nodes_[i].paused) {
                     nodes_[i].decisions->tick(clock.now());
                     carry_out(i);
+                    if (clock.now() >= nodes_[i].next_read) {
+                        read_release(i);
+                    }
                 }
             }
         }
@@ -224,6 +249,7 @@
 
 private:
     static endpoint address_of(std::size_t index) { return {"10.0.0." + std::to_string(index + 1), 7000}; }
+    static std::size_t index_of(const endpoint& address) { return std::stoul(address.address.substr(7)) - 1; }
     [[nodiscard]] std::vector<vm_entry> listed() const {
         std::vector<vm_entry> all;
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -244,17 +270,12 @@
             }
         });
     }
-    void read_release(std::size_t index) {
-        if (!store.faults.outage && !nodes_[index].store_cut) {
-            tell_after(20ms, index, release_read{config_->rev, config_, config_source::store, clock.now()});
-        }
-    }
     void carry_out(std::size_t index) {
         node& at = nodes_[index];
         router_output output = at.decisions->take();
         if (output.in_force) {
-            regressions += output.in_force->rev < at.highest ? 1 : 0;
-            at.highest = std::max(at.highest, output.in_force->rev);
+            regressions += at.in_force && output.in_force->rev <= at.in_force->rev ? 1 : 0;
+            at.in_force = output.in_force;
         }
         for (const finished_request& each : output.finished) {
             each.with->finish(each.last);
@@ -269,8 +290,10 @@
             transmit(index, each);
         }
         for (const release_command& each : output.release) {
-            if (std::holds_alternative<fetch_release>(each)) {
-                read_release(index);
+            if (const auto* const fetch = std::get_if<fetch_release>(&each)) {
+                read_release(index, fetch->peer);
+            } else if (const auto* const watch = std::get_if<watch_release>(&each)) {
+                at.watching = watch->enabled;
             }
         }
     }
@@ -287,7 +310,7 @@
         });
     }
     void transmit(std::size_t from, const datagram& sent) {
-        const std::size_t to = std::stoul(sent.to.address.substr(7)) - 1;
+        const std::size_t to = index_of(sent.to);
         for (int copies = chance(duplication) ? 2 : 1; copies > 0; --copies) {
             const base::duration delay = std::chrono::microseconds(500 + random_() % 20000);
             if (nodes_[from].cut || chance(loss)) {
@@ -350,3 +373,380 @@
     }
     all.check();
 }
+
+TEST_CASE("a request repeated at another router does not run twice, whatever happens to the first one") {
+    const int fault = GENERATE(0, 1, 2, 3, 4, 5, 6, 7);
+    // Before the claim is answered, before dispatch, while it runs, after its end.
+    const base::duration when = GENERATE(1ms, 20ms, 50ms, 100ms, 150ms, 400ms);
+    CAPTURE(fault, when.count());
+    fleet all(3, 11);
+    for (std::uint64_t key = 1; key <= 4; ++key) {
+        static_cast<void>(all.send(0, key));
+    }
+    all.run(when);
+    switch (fault) {
+    case 0:
+        break;
+    case 1:
+        all.kill(0);
+        break;
+    case 2:
+        all.at(0).paused = true;
+        break;
+    case 3:
+        all.start(0);
+        break;
+    case 4:
+        all.at(0).cut = true;
+        break;
+    case 5:
+        all.at(0).cut = all.at(0).store_cut = true;
+        break;
+    case 6:
+        all.store.faults.outage = true;
+        break;
+    default:
+        all.store.faults.lost_after = 0.5;
+        break;
+    }
+    for (const base::duration pause : {200ms, 6000ms, 30000ms}) {
+        for (std::uint64_t key = 1; key <= 4; ++key) {
+            static_cast<void>(all.send(1, key));
+            static_cast<void>(all.send(2, key));
+        }
+        all.run(pause);
+    }
+    all.heal();
+    all.run(10s);
+    for (std::uint64_t key = 1; key <= 4; ++key) {
+        static_cast<void>(all.send(0, key));
+    }
+    all.run(25s);
+    all.check();
+    // The claims of a router that lost its memory stay claimed; nobody may run these keys any more.
+    if (fault != 1 && fault != 3) {
+        CHECK(all.key_runs.size() == 4);
+    }
+}
+
+TEST_CASE("a paused router that wakes does not dispatch what it had promised before") {
+    fleet all(3, 12);
+    all.upstreams = [](const dispatch&) { return attempt_status::not_sent; };
+    for (std::uint64_t key = 1; key <= 6; ++key) {
+        static_cast<void>(all.send(key % 3, key, 0, 5s));
+    }
+    all.run(15ms);
+    all.at(0).paused = true;
+    all.run(30s);
+    all.upstreams = [](const dispatch&) { return attempt_status::completed; };
+    all.resume(0);
+    all.run(25s);
+    all.check();
+    CHECK(all.key_runs.empty());
+}
+
+TEST_CASE("a drain cuts no request in progress and refuses waiting ones only at its limit") {
+    fleet all(2, 13);
+    all.service = 2s;
+    std::vector<sent_request> sent;
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        sent.push_back(all.send(0, i % 2 == 0 ? std::optional<std::uint64_t>(i + 1) : std::nullopt));
+    }
+    all.run(500ms);
+    all.tell(0, drain_requested{});
+    CHECK_FALSE(all.at(0).decisions->ready());
+    const sent_request late = all.send(0);
+    CHECK(late.with->result.cause->code == error_code::draining);
+    all.run(4s);
+    CHECK_FALSE(all.at(0).decisions->drained());
+    all.run(6s);
+    std::size_t ran = 0;
+    for (const sent_request& each : sent) {
+        const verdict& last = each.with->result;
+        ran += last.result == outcome::ran ? 1 : 0;
+        CHECK((last.result == outcome::ran || last.cause->code == error_code::draining));
+        CHECK(each.with->runs == (last.result == outcome::ran ? 1 : 0));
+    }
+    CHECK(ran >= 24);
+    CHECK(ran < sent.size());
+    CHECK(all.at(0).decisions->drained());
+    all.check();
+}
+
+TEST_CASE("a draining router serves its waiting requests before the limit") {
+    fleet all(2, 14);
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        static_cast<void>(all.send(0));
+    }
+    all.tell(0, drain_requested{});
+    all.run(4s);
+    CHECK(all.at(0).decisions->drained());
+    all.run(20s);
+    all.check();
+    std::size_t runs = 0;
+    for (const auto& [id, times] : all.starts) {
+        runs += times.size();
+    }
+    CHECK(runs == 60);
+}
+
+TEST_CASE("an isolated router starts nothing after 3 s and refuses with its own code") {
+    fleet all(3, 15);
+    for (std::uint64_t i = 0; i < 200; ++i) {
+        static_cast<void>(all.send(0));
+    }
+    all.service = 1s;
+    all.at(0).cut = all.at(0).store_cut = true;
+    all.run(4s);
+    // Its last contact is at most a probe period before the cut.
+    CHECK_FALSE(all.at(0).decisions->ready());
+    all.starts.clear();
+    const sent_request refused = all.send(0);
+    CHECK(refused.with->result.cause->code == error_code::router_isolated);
+    all.run(10s);
+    CHECK(all.starts.empty());
+    all.heal();
+    all.run(10s);
+    CHECK(all.at(0).decisions->ready());
+    CHECK_FALSE(all.starts.empty());
+    all.check();
+}
+
+TEST_CASE("a departing upstream gets no new work 5 s after its release, whatever is cut") {
+    const int cuts = GENERATE(0, 1, 2, 3, 4);
+    CAPTURE(cuts);
+    fleet all(3, 16);
+    const base::upstream_id leaving("w1");
+    all.publish([&](fleet_config& to) { to.upstreams[leaving].state = upstream_state::departing; });
+    all.run(5s); // each router acknowledges before the second revision
+    all.publish([&](fleet_config& to) { to.upstreams.erase(leaving); });
+    all.at(0).cut = cuts == 1 || cuts == 3;
+    all.at(0).store_cut = cuts == 2 || cuts == 3;
+    all.store.faults.outage = cuts == 4;
+    const base::time_point accepted = all.clock.now();
+    for (int i = 0; i < 100; ++i) {
+        for (std::size_t at = 0; at < 3; ++at) {
+            static_cast<void>(all.send(at));
+        }
+        all.run(100ms);
+    }
+    for (const base::time_point& each : all.starts[leaving]) {
+        CHECK(each - accepted <= 5s);
+    }
+    CHECK_FALSE(all.starts[base::upstream_id("w0")].empty());
+    all.run(21s);
+    all.check();
+}
+
+TEST_CASE("a store outage with peers stops neither repeatable work nor the typed refusal of the rest") {
+    fleet all(3, 17);
+    all.run(2s);
+    all.store.faults.outage = true;
+    all.run(10s);
+    const sent_request repeatable = all.send(0);
+    const sent_request once = all.send(1, 1);
+    all.run(15s);
+    CHECK(repeatable.with->result.result == outcome::ran);
+    CHECK(once.with->result.result == outcome::not_run);
+    CHECK(once.with->runs == 0);
+    all.heal();
+    all.run(10s);
+    const sent_request again = all.send(2, 1);
+    all.run(10s);
+    CHECK(again.with->result.result == outcome::ran);
+    all.check();
+}
+
+TEST_CASE("a revision reaches every router within 5 s and never goes back") {
+    fleet all(5, 18);
+    all.loss = 0.1;
+    all.duplication = 0.1;
+    for (std::uint64_t rev = 2; rev < 12; ++rev) {
+        all.publish([](fleet_config&) {});
+        all.run(5s);
+        for (std::size_t i = 0; i < 5; ++i) {
+            CHECK(all.at(i).in_force->rev == base::revision(rev));
+        }
+    }
+    all.check();
+}
+
+TEST_CASE("a request that crashed two upstreams does not crash a third, also at another router") {
+    fleet all(3, 19);
+    all.upstreams = [](const dispatch&) { return attempt_status::interrupted; };
+    const sent_request first = all.send(0, {}, 42);
+    all.run(2s);
+    CHECK(first.with->runs == 2);
+    CHECK(first.with->result.cause->code == error_code::poison_request);
+    CHECK(first.with->result.result == outcome::outcome_unknown);
+    const sent_request again = all.send(1, {}, 42);
+    const sent_request third = all.send(2, 5, 42);
+    all.run(2s);
+    for (const sent_request& each : {again, third}) {
+        CHECK(each.with->runs == 0);
+        CHECK(each.with->result.cause->code == error_code::poison_request);
+    }
+    all.check();
+}
+
+TEST_CASE("a non-repeatable request that an upstream had is not retried, and one not sent is") {
+    fleet all(2, 20);
+    all.upstreams = [](const dispatch&) { return attempt_status::silent; };
+    const sent_request reached = all.send(0, 1);
+    all.run(2s);
+    CHECK(reached.with->result.result == outcome::outcome_unknown);
+    std::set<base::upstream_id> tried;
+    all.upstreams = [&](const dispatch& order) {
+        tried.insert(order.target.id);
+        return tried.size() == 1 ? attempt_status::not_sent : attempt_status::completed;
+    };
+    const sent_request refused = all.send(1, 2);
+    all.run(2s);
+    CHECK(refused.with->result.result == outcome::ran);
+    CHECK(tried.size() == 2);
+    all.check();
+}
+
+TEST_CASE("a failing pool gets no more retries than its budget") {
+    fleet all(2, 21);
+    all.service = 5ms;
+    int orders = 0;
+    all.upstreams = [&](const dispatch&) {
+        ++orders;
+        return attempt_status::silent;
+    };
+    for (int i = 0; i < 400; ++i) {
+        static_cast<void>(all.send(i % 2));
+        all.run(10ms);
+    }
+    all.run(21s);
+    // A tenth of 400, and at two routers 10 saved up and 1 a second for 4 s.
+    CHECK(orders <= 400 + 40 + 2 * (10 + 4));
+    CHECK(orders > 400);
+    all.check();
+}
+
+TEST_CASE("late and crossed ends of attempts do not change the verdict on another one") {
+    fleet all(1, 22);
+    all.service = 1s;
+    int orders = 0;
+    std::vector<attempt_key> keys;
+    all.upstreams = [&](const dispatch& order) {
+        keys.push_back(order.attempt);
+        return ++orders == 1 ? attempt_status::silent : attempt_status::completed;
+    };
+    const sent_request one = all.send(0);
+    all.run(1500ms);
+    REQUIRE(keys.size() == 2);
+    const attempt_end completed{attempt_status::completed, base::cost(1), {}, {}};
+    all.tell(0, attempt_ended{keys[0], completed});
+    all.tell(0, attempt_ended{{keys[0].id, base::attempt_number(9)}, completed});
+    all.tell(0, attempt_ended{{base::request_id(base::wide{1, 1}), base::attempt_number(1)}, completed});
+    CHECK(one.with->finishes == 0);
+    all.run(2s);
+    CHECK(one.with->finishes == 1);
+    all.tell(0, attempt_ended{keys[1], completed});
+    all.tell(0, attempt_progress{keys[1], base::cost(1000)});
+    all.run(20s);
+    all.check();
+}
+
+TEST_CASE("a caller that leaves ends its request once, in each phase") {
+    const base::duration when = GENERATE(0ms, 10ms, 20ms, 40ms, 60ms, 100ms, 150ms, 1200ms);
+    const bool repeatable = GENERATE(true, false);
+    CAPTURE(when.count(), repeatable);
+    fleet all(2, 23);
+    all.service = 1s;
+    const sent_request left = all.send(0, repeatable ? std::nullopt : std::optional<std::uint64_t>(1));
+    all.run(when);
+    all.tell(0, caller_gone{left.what.id});
+    all.tell(0, caller_gone{left.what.id});
+    all.run(3s);
+    if (!repeatable) {
+        const sent_request again = all.send(1, 1);
+        all.run(3s);
+        // A key that was given up before its dispatch is free; one that ran is not.
+        CHECK(again.with->runs + left.with->runs == 1);
+        CHECK(again.with->result.result == outcome::ran);
+    }
+    all.run(20s);
+    all.check();
+    CHECK(all.at(0).decisions->report().size() == 5);
+}
+
+TEST_CASE("every accepted request gets exactly one verdict under random faults") {
+    constexpr std::uint64_t schedules = 300;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        fleet all(3, seed);
+        all.loss = 0.05 * static_cast<double>(random() % 4);
+        all.duplication = 0.05 * static_cast<double>(random() % 4);
+        all.upstreams = [&random](const dispatch&) {
+            const std::uint64_t roll = random() % 20;
+            return roll < 14    ? attempt_status::completed
+                   : roll < 16  ? attempt_status::not_sent
+                   : roll == 16 ? attempt_status::silent
+                   : roll == 17 ? attempt_status::interrupted
+                                : attempt_status::completed;
+        };
+        std::vector<std::pair<std::size_t, sent_request>> sent;
+        for (int step = 0; step < 60; ++step) {
+            const std::size_t index = random() % 3;
+            node& at = all.at(index);
+            switch (random() % 14) {
+            case 0:
+                all.start(index);
+                break;
+            case 1:
+                all.kill(index);
+                break;
+            case 2:
+                at.paused = true;
+                break;
+            case 3:
+                all.resume(index);
+                break;
+            case 4:
+                at.cut = !at.cut;
+                break;
+            case 5:
+                at.store_cut = !at.store_cut;
+                break;
+            case 6:
+                all.store.faults.outage = random() % 3 == 0;
+                all.store.faults.lost_after = 0.2 * static_cast<double>(random() % 2);
+                all.store.faults.delayed = 0.2 * static_cast<double>(random() % 2);
+                all.store.land();
+                break;
+            case 7:
+                all.publish([](fleet_config&) {});
+                break;
+            case 8:
+                if (!sent.empty()) {
+                    const auto& [origin, gone] = sent[random() % sent.size()];
+                    all.tell(origin, caller_gone{gone.what.id});
+                }
+                break;
+            case 9:
+                if (random() % 4 == 0) {
+                    all.tell(index, drain_requested{});
+                }
+                break;
+            default:
+                if (at.decisions) {
+                    const bool once = random() % 2 == 0;
+                    sent.emplace_back(
+                        index,
+                        all.send(index, once ? std::optional<std::uint64_t>(1 + random() % 8) : std::nullopt,
+                                 0, 5s));
+                }
+                break;
+            }
+            all.run(std::chrono::milliseconds(random() % 400));
+        }
+        all.heal();
+        all.run(12s);
+        all.check();
+    }
+}
