Keep grant ids of similar routers apart

Cause: the start number seeded the hash of the VM name. For short names the seed cancels out against the name: ("vm0", 1) and ("vm1", 2) got the same base, so a bidder took a grant of one owner for an ended one of the other and a waiting retry was stranded until its deadline. Change: name and start number are hashed as one text.

--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -33,7 +33,8 @@
 permit_owner::permit_owner(base::vm_id self, base::incarnation life, const permit_options& options)
     : self_(std::move(self)), options_(options),
       // Ids of different owners and lives differ, so that a release never frees the slot of another grant.
-      id_base_(base::stable_hash(self_.value(), life.value()) << id_counter_bits) {}
+      // The life is part of the text: as a seed it cancels out against similar names ("vm0", 1 and "vm1", 2).
+      id_base_(base::stable_hash(self_.value() + '/' + std::to_string(life.value())) << id_counter_bits) {}
 
 void permit_owner::set_owned(const std::vector<upstream>& owned, base::time_point now, bool learn) {
     std::map<base::upstream_id, slot_state> kept;
@@ -449,7 +450,8 @@
     const auto [position, created] = held_.emplace(what.id, held_state{what, from});
     const auto pool = pools_.find(what.pool);
     if (pool != pools_.end()) {
-        // A former owner may repeat a grant that has moved on; `drop` clears the list of the present one only.
+        // A former owner may repeat a grant that has moved on; `drop` clears the list of the present one
+        // only.
         const auto owner = pool->second.owners.find(position->second.owner);
         if (owner != pool->second.owners.end()) {
             owner->second.held.insert(what.id);
--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -229,6 +229,18 @@
     CHECK(next(owner)->to == far);
 }
 
+TEST_CASE("grants of owners with similar names and start numbers do not get the same ids") {
+    std::set<base::grant_id> ids;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        permit_owner owner(base::vm_id("vm" + std::to_string(i % 10)), base::incarnation(i),
+                           permit_options{});
+        owner.set_owned({worker_with(1)}, start, false);
+        owner.receive(near, life, bid_of(1, 1, 1), start);
+        ids.insert(next(owner)->what.id);
+    }
+    CHECK(ids.size() == 40);
+}
+
 TEST_CASE("a bidder tells new work at once and does not repeat what did not change") {
     permit_bidder bidder(self, permit_options{});
     bidder.set_owners({{worker, worker_with(1)}}, {{worker, near}});
