Offer another upstream at once when a bidder hands one back unused

Cause: an unused grant stayed counted as pending until the next bid of the bidder; a retry that must avoid one upstream then waited for the repetition of its bid, when the hold had passed, and was offered the same upstream again. Change: an unused release of an unconfirmed grant no longer counts as pending. Conclusion: a retry is offered the other upstreams within one round trip.

--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -184,7 +184,12 @@
         return;
     }
     if (body.unused) {
-        bids_[body.pool][from].unused_until[body.upstream] = now + options_.unused_hold;
+        standing_bid& standing = bids_[body.pool][from];
+        standing.unused_until[body.upstream] = now + options_.unused_hold;
+        // The request still waits, so that another upstream may serve it before the next bid.
+        if (!found->second.confirmed && standing.pending > 0) {
+            --standing.pending;
+        }
     }
     drop(found, now);
     ended_.add(body.id, now, options_.ended_memory);
--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -229,6 +229,19 @@
     CHECK(next(owner)->to == far);
 }
 
+TEST_CASE("an upstream that a bidder cannot use does not keep another one from it until the next bid") {
+    permit_owner owner(self, life, permit_options{});
+    upstream other = worker_with(1);
+    other.id = base::upstream_id("other");
+    owner.set_owned({worker_with(1), other}, start, false);
+    owner.receive(near, life, bid_of(1, 1, 1), start);
+    const decided_grant given = *next(owner);
+    owner.receive(near, release{given.what.id, text, given.what.upstream, true}, start);
+    const std::optional<decided_grant> second = next(owner);
+    REQUIRE(second);
+    CHECK(second->what.upstream != given.what.upstream);
+}
+
 TEST_CASE("grants of owners with similar names and start numbers do not get the same ids") {
     std::set<base::grant_id> ids;
     for (std::uint64_t i = 0; i < 40; ++i) {
