--- a/tests/permit_test.cpp
+++ b/tests/permit_test.cpp
@@ -246,6 +246,31 @@
     CHECK(next(owner)->to == far);
 }
 
+TEST_CASE("an upstream that a bidder cannot use does not keep another one from it until the next bid") {
+    permit_owner owner(self, life, permit_options{});
+    upstream other = worker_with(1);
+    other.id = base::upstream_id("other");
+    owner.set_owned({worker_with(1), other}, start, false);
+    owner.receive(near, life, bid_of(1, 1, 1), start);
+    const decided_grant given = *next(owner);
+    owner.receive(near, release{given.what.id, text, given.what.upstream, true}, start);
+    const std::optional<decided_grant> second = next(owner);
+    REQUIRE(second);
+    CHECK(second->what.upstream != given.what.upstream);
+}
+
+TEST_CASE("grants of owners with similar names and start numbers do not get the same ids") {
+    std::set<base::grant_id> ids;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        permit_owner owner(base::vm_id("vm" + std::to_string(i % 10)), base::incarnation(i),
+                           permit_options{});
+        owner.set_owned({worker_with(1)}, start, false);
+        owner.receive(near, life, bid_of(1, 1, 1), start);
+        ids.insert(next(owner)->what.id);
+    }
+    CHECK(ids.size() == 40);
+}
+
 TEST_CASE("a bidder tells new work at once and does not repeat what did not change") {
     permit_bidder bidder(self, permit_options{});
     bidder.set_owners({{worker, worker_with(1)}}, {{worker, near}});
@@ -302,6 +327,21 @@
     CHECK(bidder.drop(given.id, start).value().empty());
 }
 
+TEST_CASE("a grant that a former owner repeats does not stay on a list after its end") {
+    permit_bidder bidder(self, permit_options{});
+    upstream other = worker_with(1);
+    other.id = base::upstream_id("other");
+    bidder.set_owners({{worker, worker_with(1)}, {other.id, other}}, {{worker, near}, {other.id, far}});
+    const grant given{base::grant_id(5), text, worker, std::nullopt};
+    CHECK(bidder.hold(near, given) == grant_state::taken);
+    CHECK(bidder.hold(far, given) == grant_state::held);
+    CHECK(bidder.drop(given.id, start) == near);
+    const permit_bidder::demand_of current = [](const base::pool_id&) { return local_work(1); };
+    for (const outgoing& item : bidder.collect(current, start + 1s)) {
+        CHECK(std::get<bid>(item.body).held.empty());
+    }
+}
+
 TEST_CASE("the number of bids does not grow with the number of owners") {
     permit_bidder bidder(self, permit_options{});
     std::map<base::upstream_id, upstream> upstreams;
