Measure the schedule and the composed router by size

Cause: the capacity page needs slopes for every role, not only membership and messages.

Conclusion: the traffic of the composed router is that of peers that grant each bid; a case with all slots taken is still missing.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,10 @@
 
 capacity: build
 	$(BUILD)/bench/capacity
+	$(BUILD)/bench/measure --cost
+	$(BUILD)/bench/claims
+	$(BUILD)/bench/release-cost
+	$(BUILD)/bench/path
 
 clean:
 	rm -rf $(BUILD)
--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -39,13 +39,18 @@
   --only ROLE   Measure one role.
 
 The slope is the growth for each further router, by least squares over the sizes above 16. Up to 16 routers
-every router probes every other, so that smaller fleets follow another line.
+every router probes every other, so that smaller fleets follow another line. Other roles name their own sizes
+(accounts, waiting requests), and all of them count.
 )";
 
 std::vector<std::unique_ptr<bench::role>> roles() {
     std::vector<std::unique_ptr<bench::role>> all;
     all.push_back(bench::make_membership());
     all.push_back(bench::make_messages());
+    all.push_back(bench::make_accounts());
+    all.push_back(bench::make_backlogged());
+    all.push_back(bench::make_waiting());
+    all.push_back(bench::make_composed());
     return all;
 }
 
@@ -60,14 +65,14 @@
 
 constexpr std::size_t probe_all_limit = 16;
 
-double slope(const std::vector<std::size_t>& sizes, const std::vector<double>& values) {
+double slope(const std::vector<std::size_t>& sizes, const std::vector<double>& values, std::size_t above) {
     double count = 0;
     double x = 0;
     double y = 0;
     double xx = 0;
     double xy = 0;
     for (std::size_t i = 0; i < sizes.size(); ++i) {
-        if (sizes[i] <= probe_all_limit) {
+        if (sizes[i] <= above) {
             continue;
         }
         const auto size = static_cast<double>(sizes[i]);
@@ -81,24 +86,26 @@
     return spread == 0 ? 0 : (count * xy - x * y) / spread;
 }
 
-void print_title(bool csv, const std::vector<std::size_t>& sizes) {
-    std::printf(csv ? "%s,%s,%s" : "%-11s %-31s %-19s", "role", "figure", "unit");
+void print_title(bool csv, const bench::role& what, const std::vector<std::size_t>& sizes) {
+    std::printf(csv ? "%s,%s,%s" : "%-11s %-31s %-19s", "role", ("by " + what.size_name()).c_str(), "unit");
     for (const std::size_t size : sizes) {
         std::printf(csv ? ",n=%s" : " %10s", std::to_string(size).c_str());
     }
     std::printf(csv ? ",%s\n" : " %11s\n", "slope");
 }
 
-void print_row(bool csv, const std::string& role, const figure& what, const std::vector<std::size_t>& sizes,
-               const std::vector<double>& values) {
+void print_row(bool csv, const std::string& role, const figure& what, const std::vector<double>& values,
+               double growth) {
     std::printf(csv ? "%s,%s,%s" : "%-11s %-31s %-19s", role.c_str(), what.name.c_str(), what.unit.c_str());
     for (const double value : values) {
         std::printf(csv ? ",%.6g" : " %10.4g", value);
     }
-    std::printf(csv ? ",%.6g\n" : " %11.3g\n", slope(sizes, values));
+    std::printf(csv ? ",%.6g\n" : " %11.3g\n", growth);
 }
 
-void measure(bench::role& what, bool csv, const std::vector<std::size_t>& sizes) {
+void measure(bench::role& what, bool csv, const std::vector<std::size_t>& routers) {
+    const bool own = !what.own_sizes().empty();
+    const std::vector<std::size_t> sizes = own ? what.own_sizes() : routers;
     std::vector<figure> rows;
     std::vector<std::vector<double>> values;
     for (const std::size_t size : sizes) {
@@ -108,8 +115,9 @@
             values[i].push_back(rows[i].value);
         }
     }
+    print_title(csv, what, sizes);
     for (std::size_t i = 0; i < rows.size(); ++i) {
-        print_row(csv, what.name(), rows[i], sizes, values[i]);
+        print_row(csv, what.name(), rows[i], values[i], slope(sizes, values[i], own ? 0 : probe_all_limit));
     }
 }
 
@@ -120,7 +128,6 @@
         docopt::docopt(help, {argv + 1, argv + argc}, true, "");
     const bool csv = options.at("--csv").asBool();
     const std::vector<std::size_t> sizes = parse_sizes(options.at("--sizes").asString());
-    print_title(csv, sizes);
     for (const std::unique_ptr<bench::role>& what : roles()) {
         if (!options.at("--only") || options.at("--only").asString() == what->name()) {
             measure(*what, csv, sizes);
--- a/bench/release.cpp
+++ b/bench/release.cpp
@@ -176,6 +176,7 @@
                  "load_calls,load_bytes,load_ms,peer_config_bytes,peer_parse_ms,fleet_calls_per_release,"
                  "fleet_bytes_per_release,idle_calls_per_s,idle_bytes_per_s,release_calls_per_s\n";
     run(16, 23, 9, 1);
+    run(2400, 73, 35, 3);
     run(24000, 730, 350, 3);
     return 0;
 }
--- a/bench/role.h
+++ b/bench/role.h
@@ -26,14 +26,26 @@
     virtual ~role() = default;
 
     [[nodiscard]] virtual std::string name() const = 0;
-    /// Runs at `nodes` routers, from a fixed seed.
-    virtual std::vector<figure> measure(std::size_t nodes) = 0;
+    /// What `measure` takes as its size.
+    [[nodiscard]] virtual std::string size_name() const { return "routers"; }
+    /// Sizes of a role whose needs do not grow with the routers; empty for the sizes of the command line.
+    [[nodiscard]] virtual std::vector<std::size_t> own_sizes() const { return {}; }
+    /// Runs at one size, from a fixed seed.
+    virtual std::vector<figure> measure(std::size_t size) = 0;
 };
 
 /// Membership and the spread of revisions (section 4.7 of the design).
 std::unique_ptr<role> make_membership();
 /// Bytes of each kind of control message, and processor time for encoding and for the socket.
 std::unique_ptr<role> make_messages();
+/// Fair sharing and permits by configured accounts, with few of them backlogged.
+std::unique_ptr<role> make_accounts();
+/// Fair sharing and permits by accounts with waiting requests on this router.
+std::unique_ptr<role> make_backlogged();
+/// Fair sharing and permits by waiting requests of 700 accounts.
+std::unique_ptr<role> make_waiting();
+/// All decisions of one router together, idle and with 15 requests a second.
+std::unique_ptr<role> make_composed();
 
 /// Processor time that the calling thread has used.
 double thread_seconds();
