--- a/bench/composed.cpp
+++ b/bench/composed.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -30,6 +31,9 @@
 constexpr base::duration progress_interval = 100ms;
 constexpr int requests_per_s = 15;
 constexpr int backlogged_accounts = 7;
+/// More than bids ask for; and, with the own ones, fewer than the load needs.
+constexpr std::size_t free_slots = 1000;
+constexpr std::size_t scarce_slots = 20;
 
 base::pool_id pool_name(std::size_t index) {
     return base::pool_id("model-" + std::to_string(index % pools));
@@ -223,8 +227,8 @@
     }
 };
 
-/// One router of a fleet whose other members only answer: probes, bids with a grant, reports with a total.
-/// Accounts and workers grow with the fleet as at the design size.
+/// One router of a fleet whose other members only answer: probes, bids with a grant while slots are free,
+/// reports with a total. Accounts and workers grow with the fleet as at the design size.
 class composed final : public role {
 public:
     [[nodiscard]] std::string name() const override { return "router"; }
@@ -240,7 +244,10 @@
         figures.push_back({"memory idle", "KB per node", (allocated_bytes() - start) / 1000});
         one.measure("idle", 0, figures);
         one.run(settle_time, requests_per_s);
-        one.measure("loaded", requests_per_s, figures);
+        one.measure("slots free", requests_per_s, figures);
+        one.slots = scarce_slots;
+        one.run(settle_time, requests_per_s);
+        one.measure("slots taken", requests_per_s, figures);
         figures.push_back({"memory loaded", "KB per node", (allocated_bytes() - start) / 1000});
         return figures;
     }
@@ -308,6 +315,13 @@
             router.handle(what, clock.now());
         }
 
+        [[nodiscard]] std::optional<decision::message> grant_of(const base::pool_id& pool) {
+            const std::vector<base::upstream_id>& all = free[pool];
+            const base::grant_id id(++grants);
+            granted.insert(id);
+            return decision::grant{id, pool, all[grants % all.size()], {}};
+        }
+
         /// What the peer does with a message; the cost of its own decisions is not part of the measurement.
         [[nodiscard]] std::optional<decision::message> answer(const decision::message& body) {
             if (const auto* probed = std::get_if<decision::ping>(&body)) {
@@ -317,11 +331,13 @@
                 return probed->nonce == 0 ? std::nullopt : std::optional<decision::message>(back);
             }
             if (const auto* asked = std::get_if<decision::bid>(&body)) {
-                if (asked->waiting == 0) {
-                    return std::nullopt;
-                }
-                const std::vector<base::upstream_id>& all = free[asked->pool];
-                return decision::grant{base::grant_id(++grants), asked->pool, all[grants % all.size()], {}};
+                return asked->waiting > 0 && granted.size() < slots ? grant_of(asked->pool) : std::nullopt;
+            }
+            if (const auto* freed = std::get_if<decision::release>(&body)) {
+                // With all slots taken, the next grant follows the release of a slot.
+                const bool next =
+                    granted.erase(freed->id) > 0 && granted.size() + 1 == slots && !freed->unused;
+                return next ? grant_of(freed->pool) : std::nullopt;
             }
             if (const auto* told = std::get_if<decision::usage>(&body)) {
                 decision::usage_total back;
@@ -408,7 +424,8 @@
                 {"bytes sent, " + state, "B/s per node", static_cast<double>(sent.bytes) / time});
             figures.push_back({"decider, " + state, "% of core", 100 * used / time});
             if (load > 0) {
-                figures.push_back({"requests ended", "1/s per node", static_cast<double>(ended) / time});
+                figures.push_back(
+                    {"requests ended, " + state, "1/s per node", static_cast<double>(ended) / time});
             }
         }
 
@@ -420,6 +437,9 @@
         std::map<base::pool_id, std::vector<base::upstream_id>> free;
         std::deque<attempt> running;
         std::size_t backlog = 1;
+        /// Slots of the peers' upstreams that this router may hold.
+        std::size_t slots = free_slots;
+        std::set<base::grant_id> granted;
         traffic sent;
         std::size_t ended = 0;
         double used = 0;
--- a/bench/role.h
+++ b/bench/role.h
@@ -44,6 +44,8 @@
 std::unique_ptr<role> make_backlogged();
 /// Fair sharing and permits by waiting requests of 700 accounts.
 std::unique_ptr<role> make_waiting();
+/// Fair sharing and permits of whole fleets under load.
+std::unique_ptr<role> make_sharing();
 /// All decisions of one router together, idle and with 15 requests a second.
 std::unique_ptr<role> make_composed();
 
