--- a/bench/composed.cpp
+++ b/bench/composed.cpp
@@ -30,7 +30,7 @@
 constexpr base::duration run_time = 2500ms;
 constexpr base::duration progress_interval = 100ms;
 constexpr int requests_per_s = 15;
-constexpr int backlogged_accounts = 7;
+constexpr std::size_t backlogged_accounts = 7;
 /// More than bids ask for; and, with the own ones, fewer than the load needs.
 constexpr std::size_t free_slots = 1000;
 constexpr std::size_t scarce_slots = 20;
@@ -271,7 +271,7 @@
                 return std::max(pools, all * nodes / design_routers);
             };
             config = make_config(part(design_accounts), part(design_workers));
-            backlog = std::min<std::size_t>(backlogged_accounts, config->accounts.size());
+            backlog = std::min(backlogged_accounts, config->accounts.size());
             for (const auto& [id, each] : config->upstreams) {
                 free[each.pool].push_back(id);
             }
