Measure polls of load reports by upstreams

Cause: each router polls every upstream twice a second, and nothing showed what that costs at 730 upstreams.

Change: role load runs the poller over loopback against the stand-in.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -51,6 +51,7 @@
     all.push_back(bench::make_backlogged());
     all.push_back(bench::make_waiting());
     all.push_back(bench::make_sharing());
+    all.push_back(bench::make_load());
     all.push_back(bench::make_composed());
     return all;
 }
--- a/bench/role.h
+++ b/bench/role.h
@@ -46,6 +46,8 @@
 std::unique_ptr<role> make_waiting();
 /// Fair sharing and permits of whole fleets under load.
 std::unique_ptr<role> make_sharing();
+/// Polls of load reports by upstreams.
+std::unique_ptr<role> make_load();
 /// All decisions of one router together, idle and with 15 requests a second.
 std::unique_ptr<role> make_composed();
 
