Report a bad number of a bluebellctl option as usage

Cause: '--wait=soon' and '--rounds=few' ended with exit code 1 and the text 'stol'; code 1 stands for a store or router that does not answer. A negative number was taken. Change: both options are parsed strictly and a fault ends with exit code 2 and names the option. Measurement: the two checks of tests/cli.sh failed before (code 1) and pass now (code 2). Conclusion: exit codes 1 and 2 mean what the usage text says.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "ctl/command.h"
 
+#include <charconv>
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <exception>
@@ -54,6 +55,8 @@
 using bluebell::ctl::commands;
 using bluebell::ctl::exit_code;
 
+constexpr int number_limit = 86400; ///< a day of seconds or of rounds
+
 std::string store_text(const arguments& args) {
     if (args.at("--store").isString()) {
         return args.at("--store").asString();
@@ -62,6 +65,19 @@
     return from_environment == nullptr ? "" : from_environment;
 }
 
+/// A whole number from 0 to `number_limit`. Throws `docopt::DocoptArgumentError`.
+int number(const arguments& args, const std::string& option) {
+    const std::string& text = args.at(option).asString();
+    const char* const end = text.data() + text.size();
+    int value = -1;
+    const std::from_chars_result parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end || value < 0 || value > number_limit) {
+        throw docopt::DocoptArgumentError(option + " is '" + text + "', expected a whole number from 0 to " +
+                                          std::to_string(number_limit));
+    }
+    return value;
+}
+
 exit_code dispatch(const arguments& args, commands& run) {
     if (args.at("apply").asBool()) {
         return run.apply(args.at("FILE").asString());
@@ -84,7 +100,7 @@
     if (args.at("dump").asBool()) {
         return run.dump(bluebell::base::vm_id(args.at("VM").asString()));
     }
-    return run.top(static_cast<int>(args.at("--rounds").asLong()));
+    return run.top(number(args, "--rounds"));
 }
 
 exit_code run(const arguments& args) {
@@ -98,7 +114,7 @@
     bluebell::ctl::command_options options;
     options.store = *store;
     options.json = args.at("--json").asBool();
-    options.wait = std::chrono::seconds(args.at("--wait").asLong());
+    options.wait = std::chrono::seconds(number(args, "--wait"));
     commands available(options, std::cout, std::cerr);
     return dispatch(args, available);
 }
