Tell notes that contradict themselves from conflicts with another change

Cause: applying a note twice, adding an upstream at an address in use, or withdrawing a pool that has upstreams ended with exit code 3 and the advice to look for another operator's change. With several faults the last one decided the code. Change: these faults have the code note_contradiction (exit code 2). note_conflict is left to races, and it decides the exit code wherever it stands in the list. Conclusion: exit code 3 always names another change.

--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -112,6 +112,8 @@
         return "note_duplicate_name";
     case error_code::note_invalid_value:
         return "note_invalid_value";
+    case error_code::note_contradiction:
+        return "note_contradiction";
     case error_code::note_conflict:
         return "note_conflict";
     case error_code::release_not_in_force:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -68,6 +68,7 @@
     note_unknown_name,
     note_duplicate_name,
     note_invalid_value,
+    note_contradiction,
     note_conflict,
     release_not_in_force,
     release_digest_mismatch,
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -118,7 +118,8 @@
 exit_code commands::report(const std::vector<base::error>& faults) {
     exit_code code = exit_code::failed;
     for (const base::error& fault : faults) {
-        code = code_of(fault.code);
+        // A note that lost a race often has faults against the winner's configuration as well.
+        code = code == exit_code::conflict ? code : code_of(fault.code);
         if (options_.json) {
             out_ << "{\"error\":{\"code\":" << base::json_quote(to_string(fault.code))
                  << ",\"place\":" << base::json_quote(fault.place)
--- a/src/decision/release.cpp
+++ b/src/decision/release.cpp
@@ -110,7 +110,7 @@
     void check_pool_is_free(const pool_change& item) {
         for (const auto& entry : current_.upstreams) {
             if (entry.second.pool == item.id && find_kind(entry.first) != change_kind::withdraw) {
-                fault(error_code::note_conflict, item.place,
+                fault(error_code::note_contradiction, item.place,
                       "pool " + item.id.value() + " still has upstream " + entry.first.value());
             }
         }
@@ -146,7 +146,7 @@
                     "pool and address cannot change; withdraw the upstream and add another one");
             const auto found = current_.upstreams.find(item.id);
             if (found != current_.upstreams.end() && found->second.state == upstream_state::departing) {
-                fault(error_code::note_conflict, item.place,
+                fault(error_code::note_contradiction, item.place,
                       "upstream " + item.id.value() + " is departing and can only be withdrawn");
             }
         }
@@ -175,7 +175,7 @@
             }
             const auto inserted = users.emplace(*item.address, item.id);
             if (!inserted.second) {
-                fault(error_code::note_conflict, item.place,
+                fault(error_code::note_contradiction, item.place,
                       "address " + to_string(*item.address) + " is in use by upstream " +
                           inserted.first->second.value());
             }
