Learn the new control address of a restarted router from itself

Change: an update that a router sends of itself corrects its address.

Measurement: the new case of member_test fails without the change and passes with it.

Conclusion: a restart on another port needs no VM list.

--- a/src/decision/member.cpp
+++ b/src/decision/member.cpp
@@ -170,6 +170,7 @@
 void member::on_ping(const message_header& header, const ping& what, base::time_point now) {
     const base::vm_id& from = header.sender;
     merge(what.updates, now);
+    learn_address(header, what.updates);
     const bool introduced = !what.updates.empty() && what.updates.front().vm == from;
     if (what.nonce != 0) {
         ack answer = make_ack(what.nonce, updates_for(from));
@@ -184,8 +185,25 @@
     compare_tables(header, what.digest, what.acknowledged, now);
 }
 
+/// A restarted router may listen on another port. The first message of its new life may be of any kind and
+/// carries no address, so the old one stays until the router states the new one itself.
+void member::learn_address(const message_header& header, const std::vector<member_update>& updates) {
+    const auto sender = peers_.find(header.sender);
+    if (sender == peers_.end()) {
+        return;
+    }
+    for (const member_update& update : updates) {
+        if (update.vm == header.sender && update.life == header.life && !update.address.address.empty() &&
+            update.address != sender->second.info.control) {
+            sender->second.info.control = update.address;
+            pending_[update.vm] = 0;
+        }
+    }
+}
+
 void member::on_ack(const message_header& header, const ack& what, base::time_point now) {
     merge(what.updates, now);
+    learn_address(header, what.updates);
     const auto answered = std::find_if(probes_.begin(), probes_.end(),
                                        [&](const probe& sent) { return sent.nonce == what.nonce; });
     if (what.nonce != 0 && answered != probes_.end()) {
--- a/src/decision/member.h
+++ b/src/decision/member.h
@@ -161,6 +161,7 @@
     base::result<void> admit_stranger(const envelope& what, base::time_point now);
     void admit_new_life(peer& sender, const message_header& header, base::time_point now);
     void on_ping(const message_header& header, const ping& what, base::time_point now);
+    void learn_address(const message_header& header, const std::vector<member_update>& updates);
     void on_ack(const message_header& header, const ack& what, base::time_point now);
     void on_ping_request(const base::vm_id& from, const ping_request& what, base::time_point now);
     void pass_on_ack(std::uint64_t nonce);
--- a/tests/member_test.cpp
+++ b/tests/member_test.cpp
@@ -156,6 +156,40 @@
     CHECK(count_changes(fleet, member_change_kind::left) == 0);
 }
 
+TEST_CASE("a router that restarts on another port is reached there, though the VM list is out of date") {
+    const base::time_point start{1h};
+    decision::member_settings settings;
+    settings.self = base::vm_id("self");
+    settings.life = base::incarnation(1);
+    settings.address = {"127.0.0.1", 1};
+    decision::member table(settings, start);
+    const base::vm_id other("other");
+    const decision::endpoint before{"127.0.0.1", 2};
+    const decision::endpoint after{"127.0.0.1", 3};
+    table.list({{other, base::data_centre_id("dc"), before, before, false}}, start);
+    const auto introduce = [&](std::uint64_t life, const decision::endpoint& address) {
+        decision::member_update own;
+        own.vm = other;
+        own.life = base::incarnation(life);
+        own.address = address;
+        decision::message_header header;
+        header.sender = other;
+        header.life = own.life;
+        decision::ping probe;
+        probe.nonce = 7;
+        probe.updates = {own};
+        return decision::envelope{header, probe};
+    };
+    REQUIRE(table.receive(introduce(1, before), start));
+    REQUIRE(table.control_address(other) == before);
+    // The first message of the new life carries no address.
+    decision::envelope first_message = introduce(2, after);
+    first_message.body = decision::settle_ack{};
+    REQUIRE(table.receive(first_message, start));
+    REQUIRE(table.receive(introduce(2, after), start));
+    CHECK(table.control_address(other) == after);
+}
+
 TEST_CASE("a restart with an incarnation from a clock that was set back does not shut the router out") {
     member_network fleet = started(small_fleet, 13);
     const base::incarnation before = fleet.at(2).table->life();
