Run both HTTP servers through one host_runner

Change: edge/host has host_runner; both workers use it.

Conclusion: one place decides how a server is ended.

--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -1,6 +1,5 @@
 #include "edge/admin.h"
 
-#include "base/guard.h"
 #include "base/log.h"
 #include "edge/answer.h"
 #include "edge/stream.h"
@@ -160,25 +159,11 @@
     served.address = options_.address;
     served.threads = options_.threads;
     admin_service service(operations_);
-    host server(served, service);
-    {
-        const std::lock_guard<std::mutex> lock(host_mutex_);
-        host_ = &server;
-    }
-    const base::scope_guard hide([this] {
-        const std::lock_guard<std::mutex> lock(host_mutex_);
-        host_ = nullptr;
-    });
-    if (!stop.requested()) {
-        server.run();
-    }
+    host_.run(served, service, stop);
 }
 
 void admin::interrupt() {
-    const std::lock_guard<std::mutex> lock(host_mutex_);
-    if (host_ != nullptr) {
-        host_->exit();
-    }
+    host_.exit();
 }
 
 } // namespace bluebell::edge
--- a/src/edge/admin.h
+++ b/src/edge/admin.h
@@ -6,7 +6,6 @@
 #include "edge/host.h"
 #include "edge/operations.h"
 
-#include <mutex>
 #include <string>
 
 namespace bluebell::edge {
@@ -36,8 +35,7 @@
 private:
     const admin_options options_;
     operations& operations_;
-    std::mutex host_mutex_;
-    host* host_ = nullptr;
+    host_runner host_;
 };
 
 } // namespace bluebell::edge
--- a/src/edge/callers.cpp
+++ b/src/edge/callers.cpp
@@ -1,6 +1,5 @@
 #include "edge/callers.h"
 
-#include "base/guard.h"
 #include "edge/responder.h"
 
 #include <utility>
@@ -26,26 +25,12 @@
     served.read_timeout = options_.read_timeout;
     served.write_timeout = options_.write_timeout;
     caller_service service(context_);
-    host server(served, service);
-    {
-        const std::lock_guard<std::mutex> lock(host_mutex_);
-        host_ = &server;
-    }
-    const base::scope_guard hide([this] {
-        const std::lock_guard<std::mutex> lock(host_mutex_);
-        host_ = nullptr;
-    });
-    if (!stop.requested()) {
-        server.run();
-    }
+    host_.run(served, service, stop);
 }
 
 void callers::interrupt() {
     give_up_at_ = clock_.now() + options_.stop_limit;
-    const std::lock_guard<std::mutex> lock(host_mutex_);
-    if (host_ != nullptr) {
-        host_->exit();
-    }
+    host_.exit();
 }
 
 } // namespace bluebell::edge
--- a/src/edge/callers.h
+++ b/src/edge/callers.h
@@ -10,7 +10,6 @@
 
 #include <atomic>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace bluebell::edge {
@@ -70,8 +69,7 @@
     std::atomic<unsigned> in_progress_{0};
     std::atomic<base::time_point> give_up_at_{base::time_point::max()};
     const callers_context context_;
-    std::mutex host_mutex_;
-    host* host_ = nullptr;
+    host_runner host_;
 };
 
 } // namespace bluebell::edge
--- a/src/edge/host.cpp
+++ b/src/edge/host.cpp
@@ -31,6 +31,29 @@
     server_.listen(options.address.address, options.address.port);
 }
 
+void host_runner::run(const host_options& options, cxxtools::http::Service& service,
+                      const base::stop_signal& stop) {
+    host server(options, service);
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        host_ = &server;
+    }
+    const base::scope_guard hide([this] {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        host_ = nullptr;
+    });
+    if (!stop.requested()) {
+        server.run();
+    }
+}
+
+void host_runner::exit() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (host_ != nullptr) {
+        host_->exit();
+    }
+}
+
 std::uint16_t free_port() {
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
     if (socket < 0) {
--- a/src/edge/host.h
+++ b/src/edge/host.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/worker.h"
 #include "decision/config.h"
 
 #include <cstdint>
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/server.h>
 #include <cxxtools/http/service.h>
+#include <mutex>
 
 namespace bluebell::edge {
 
@@ -39,6 +41,20 @@
     cxxtools::http::Server server_;
 };
 
+/// Runs one host at a time on a worker's thread and lets other threads end it.
+/// Thread safety: `run` by the worker's thread; `exit` by any thread.
+class host_runner {
+public:
+    /// Serves until `exit` is called; returns at once if `stop` was requested before. Throws as `host` does.
+    void run(const host_options& options, cxxtools::http::Service& service, const base::stop_signal& stop);
+    /// Ends `run`; has no effect if it does not run.
+    void exit();
+
+private:
+    std::mutex mutex_;
+    host* host_ = nullptr;
+};
+
 /// A loopback port that was free at the time of the call, or 0 if there is none.
 std::uint16_t free_port();
 
