Share start and stop of the stand-in programs

Change: standin/program.h has them once.

Conclusion: a further stand-in needs only its server and options.

--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -1,9 +1,7 @@
 #include "standin/model.h"
+#include "standin/program.h"
 
-#include <csignal>
 #include <docopt/docopt.h>
-#include <exception>
-#include <iostream>
 
 namespace {
 
@@ -24,12 +22,8 @@
   --ignore-fence   Accept orders with an old fencing token.
 )";
 
-int serve(int argc, char** argv) {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+void serve(int argc, char** argv) {
+    const sigset_t signals = bluebell::standin::block_stop_signals();
     std::map<std::string, docopt::value> args = docopt::docopt(usage, {argv + 1, argv + argc});
     bluebell::standin::engine_options options;
     options.address = {args["--address"].asString(), static_cast<std::uint16_t>(args["--port"].asLong())};
@@ -41,19 +35,11 @@
     options.checks_fence = !args["--ignore-fence"].asBool();
     bluebell::standin::engine engine(options);
     engine.start();
-    std::cout << "listening " << engine.address().port << std::endl;
-    int received = 0;
-    sigwait(&signals, &received);
-    return 0;
+    bluebell::standin::announce_and_wait(engine.address().port, signals);
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
-    try {
-        return serve(argc, argv);
-    } catch (const std::exception& cause) {
-        std::cerr << "standin-engine: " << cause.what() << '\n';
-        return 1;
-    }
+    return bluebell::standin::run_program("standin-engine", [&] { serve(argc, argv); });
 }
--- a/standin/service.cpp
+++ b/standin/service.cpp
@@ -1,9 +1,7 @@
 #include "standin/echo.h"
+#include "standin/program.h"
 
-#include <csignal>
 #include <docopt/docopt.h>
-#include <exception>
-#include <iostream>
 
 namespace {
 
@@ -19,12 +17,8 @@
   --delay-ms=N    Time per request [default: 10].
 )";
 
-int serve(int argc, char** argv) {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+void serve(int argc, char** argv) {
+    const sigset_t signals = bluebell::standin::block_stop_signals();
     std::map<std::string, docopt::value> args = docopt::docopt(usage, {argv + 1, argv + argc});
     bluebell::standin::service_options options;
     options.address = {args["--address"].asString(), static_cast<std::uint16_t>(args["--port"].asLong())};
@@ -32,19 +26,11 @@
     options.delay = std::chrono::milliseconds(args["--delay-ms"].asLong());
     bluebell::standin::service service(options);
     service.start();
-    std::cout << "listening " << service.address().port << std::endl;
-    int received = 0;
-    sigwait(&signals, &received);
-    return 0;
+    bluebell::standin::announce_and_wait(service.address().port, signals);
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
-    try {
-        return serve(argc, argv);
-    } catch (const std::exception& cause) {
-        std::cerr << "standin-service: " << cause.what() << '\n';
-        return 1;
-    }
+    return bluebell::standin::run_program("standin-service", [&] { serve(argc, argv); });
 }
