Use plain names for limits and cancelled streams

Cause: farewell, patience and strangers are figurative names.

Change: renamed to stream_cancel, retry_limit, write_limit, time_limit and unknown routers; no behaviour changes.

Conclusion: names follow the usual terms.

--- a/src/decision/claim.cpp
+++ b/src/decision/claim.cpp
@@ -393,7 +393,7 @@
     if (now < part.blocked_until) {
         return part.blocked_answer;
     }
-    if (store_out(now) || (part.in_flight && now - part.in_flight->sent > settings_.patience)) {
+    if (store_out(now) || (part.in_flight && now - part.in_flight->sent > settings_.write_limit)) {
         return claim_answer::unavailable;
     }
     return std::nullopt;
@@ -774,7 +774,7 @@
             fail(part, {base::error_code::store_answer_lost, "journal", "no answer"}, now, actions);
         }
         if (!part.waiting.empty()) {
-            refuse_claims(part, claim_answer::unavailable, now - settings_.patience, actions);
+            refuse_claims(part, claim_answer::unavailable, now - settings_.write_limit, actions);
             start(part, now, actions);
         }
         if (part.at == phase::owned && now >= part.next_expiry) {
--- a/src/decision/claim.h
+++ b/src/decision/claim.h
@@ -152,7 +152,7 @@
     /// Must exceed the longest deadline of a request.
     base::duration retention = std::chrono::hours(24);
     /// A write that takes longer counts as a store outage: claims are refused instead of waiting.
-    base::duration patience = std::chrono::milliseconds(1500);
+    base::duration write_limit = std::chrono::milliseconds(1500);
     /// A command without an answer for this long is given up; its late answer is ignored.
     base::duration answer_limit = std::chrono::seconds(20);
     /// Interval between attempts to write during an outage.
--- a/src/decision/member.h
+++ b/src/decision/member.h
@@ -88,7 +88,7 @@
     base::result<void> receive(const envelope& what, base::time_point now);
 
     /// Does what is due. Pre-condition: called at least as often as `next_due` says; a late call is taken as
-    /// a pause of this process and blames no peer.
+    /// a pause of this process and suspects no peer.
     void tick(base::time_point now);
     [[nodiscard]] base::time_point next_due() const { return next_due_; }
 
--- a/src/decision/permit.cpp
+++ b/src/decision/permit.cpp
@@ -388,8 +388,8 @@
     std::vector<base::grant_id> late;
     for (auto& [id, item] : grants_) {
         const bool asked = item.questions > 0 || !item.confirmed;
-        const base::duration patience = asked ? options_.take_up_limit : options_.listed_limit;
-        if (item.holder == self_ || now - item.checked < patience) {
+        const base::duration limit = asked ? options_.take_up_limit : options_.listed_limit;
+        if (item.holder == self_ || now - item.checked < limit) {
             continue;
         }
         item.checked = now;
--- a/src/platform/journal.cpp
+++ b/src/platform/journal.cpp
@@ -276,9 +276,9 @@
 }
 
 /// Pauses between the tries of one command, within its budget.
-class journal_writer::patience {
+class journal_writer::retry_limit {
 public:
-    patience(journal_writer& owner, const pause_function& pause)
+    retry_limit(journal_writer& owner, const pause_function& pause)
         : owner_(owner), pause_(pause), next_(owner.settings_.first_pause),
           end_(owner.clock_.now() + (owner.store_failed_ ? base::duration{} : owner.settings_.budget)) {}
 
@@ -307,7 +307,7 @@
 
 decision::event journal_writer::carry_out(const decision::journal_command& command,
                                           const pause_function& pause) {
-    patience left(*this, pause);
+    retry_limit left(*this, pause);
     std::optional<base::error> cause;
     decision::event answer;
     const auto keep = [&](auto done) {
@@ -327,7 +327,7 @@
     return answer;
 }
 
-base::result<stored_object> journal_writer::read(const base::object_name& name, patience& left) {
+base::result<stored_object> journal_writer::read(const base::object_name& name, retry_limit& left) {
     for (;;) {
         base::result<stored_object> found = store_.read(name);
         if (found || !outage(found.error().code) || !left.again()) {
@@ -337,7 +337,7 @@
 }
 
 journal_writer::write_end journal_writer::write(const base::object_name& name, const std::string& value,
-                                                base::object_version expected, patience& left) {
+                                                base::object_version expected, retry_limit& left) {
     // The same conditional update can be repeated after a lost answer: it takes effect once at most, and if
     // the first one did, the conflict leads to reading back.
     bool may_have_landed = false;
@@ -370,7 +370,7 @@
 
 base::result<std::vector<decision::journal_record>>
 journal_writer::read_segment(base::partition_id partition, const decision::segment_name& name,
-                             patience& left) {
+                             retry_limit& left) {
     const base::result<stored_object> object = read(segment_object(partition, name), left);
     if (!object) {
         return tl::unexpected<base::error>(object.error());
@@ -378,7 +378,7 @@
     return decode_segment(object->value);
 }
 
-base::result<void> journal_writer::seal(const decision::journal_update& command, patience& left) {
+base::result<void> journal_writer::seal(const decision::journal_update& command, retry_limit& left) {
     const base::partition_id partition = command.tail.partition;
     std::vector<decision::journal_record> records = command.seal->records;
     for (const decision::segment_name& name : command.merged) {
@@ -397,7 +397,8 @@
     return {};
 }
 
-decision::journal_answered journal_writer::update(const decision::journal_update& command, patience& left) {
+decision::journal_answered journal_writer::update(const decision::journal_update& command,
+                                                  retry_limit& left) {
     decision::journal_answered answer;
     answer.partition = command.tail.partition;
     answer.ticket = command.ticket;
@@ -443,7 +444,7 @@
 }
 
 decision::journal_answered journal_writer::take_over(const decision::journal_takeover& command,
-                                                     patience& left) {
+                                                     retry_limit& left) {
     decision::journal_answered answer;
     answer.partition = command.partition;
     answer.ticket = command.ticket;
@@ -503,7 +504,7 @@
 }
 
 base::result<std::vector<decision::journal_record>>
-journal_writer::read_segments(const decision::journal_tail& tail, std::uint32_t oldest_s, patience& left) {
+journal_writer::read_segments(const decision::journal_tail& tail, std::uint32_t oldest_s, retry_limit& left) {
     std::vector<decision::journal_record> all;
     for (const decision::segment_name& name : tail.segments) {
         if (name.newest_s < oldest_s) {
@@ -558,7 +559,7 @@
     }
 }
 
-decision::lease_answered journal_writer::read_lease(const decision::lease_read& command, patience& left) {
+decision::lease_answered journal_writer::read_lease(const decision::lease_read& command, retry_limit& left) {
     decision::lease_answered answer;
     answer.pool = command.pool;
     answer.ticket = command.ticket;
@@ -579,7 +580,8 @@
     return answer;
 }
 
-decision::lease_answered journal_writer::write_lease(const decision::lease_update& command, patience& left) {
+decision::lease_answered journal_writer::write_lease(const decision::lease_update& command,
+                                                     retry_limit& left) {
     decision::lease_answered answer;
     answer.pool = command.record.pool;
     answer.ticket = command.ticket;
--- a/src/platform/journal.h
+++ b/src/platform/journal.h
@@ -74,21 +74,21 @@
         /// The object that came first, after `store_conflict`.
         std::optional<stored_object> found;
     };
-    class patience;
+    class retry_limit;
 
-    decision::journal_answered update(const decision::journal_update& command, patience& left);
-    decision::journal_answered take_over(const decision::journal_takeover& command, patience& left);
-    decision::lease_answered read_lease(const decision::lease_read& command, patience& left);
-    decision::lease_answered write_lease(const decision::lease_update& command, patience& left);
+    decision::journal_answered update(const decision::journal_update& command, retry_limit& left);
+    decision::journal_answered take_over(const decision::journal_takeover& command, retry_limit& left);
+    decision::lease_answered read_lease(const decision::lease_read& command, retry_limit& left);
+    decision::lease_answered write_lease(const decision::lease_update& command, retry_limit& left);
 
-    base::result<stored_object> read(const base::object_name& name, patience& left);
+    base::result<stored_object> read(const base::object_name& name, retry_limit& left);
     write_end write(const base::object_name& name, const std::string& value, base::object_version expected,
-                    patience& left);
-    base::result<void> seal(const decision::journal_update& command, patience& left);
+                    retry_limit& left);
+    base::result<void> seal(const decision::journal_update& command, retry_limit& left);
     base::result<std::vector<decision::journal_record>>
-    read_segment(base::partition_id partition, const decision::segment_name& name, patience& left);
-    base::result<std::vector<decision::journal_record>> read_segments(const decision::journal_tail& tail,
-                                                                      std::uint32_t oldest_s, patience& left);
+    read_segment(base::partition_id partition, const decision::segment_name& name, retry_limit& left);
+    base::result<std::vector<decision::journal_record>>
+    read_segments(const decision::journal_tail& tail, std::uint32_t oldest_s, retry_limit& left);
     void find_garbage(const decision::journal_tail& tail);
     void discard(base::partition_id partition, const std::vector<decision::segment_name>& names);
 
--- a/src/upstream/transport.cpp
+++ b/src/upstream/transport.cpp
@@ -12,8 +12,8 @@
 /// How long a report waits before the ring of events is tried again.
 constexpr base::duration report_retry = std::chrono::milliseconds(5);
 constexpr base::duration longest_wait = std::chrono::seconds(1);
-constexpr base::duration farewell_limit = std::chrono::seconds(2);
-constexpr std::size_t farewells_at_once = 64;
+constexpr base::duration stream_cancel_limit = std::chrono::seconds(2);
+constexpr std::size_t stream_cancels_at_once = 64;
 /// Interrupted answers whose delivered part is remembered; about 100 bytes each.
 constexpr std::size_t remembered_answers = 4096;
 
@@ -25,11 +25,11 @@
 
 /// Tells an engine to stop a stream that nobody waits for. Its own failure has no consequence: the engine
 /// notices the closed connection at its next write.
-class transport::farewell final : public call_listener {
+class transport::stream_cancel final : public call_listener {
 public:
-    farewell(const attempt& ended, cxxtools::SelectorBase& selector, base::time_point now)
+    stream_cancel(const attempt& ended, cxxtools::SelectorBase& selector, base::time_point now)
         : call_(ended.order().target.address, request_text(ended), true, selector, *this),
-          expires_(now + farewell_limit) {
+          expires_(now + stream_cancel_limit) {
         call_.start();
     }
 
@@ -136,15 +136,16 @@
         }
     }
     const base::time_point now = clock_.now();
-    farewells_.erase(std::remove_if(farewells_.begin(), farewells_.end(),
-                                    [now](const std::unique_ptr<farewell>& each) { return each->over(now); }),
-                     farewells_.end());
+    stream_cancels_.erase(
+        std::remove_if(stream_cancels_.begin(), stream_cancels_.end(),
+                       [now](const std::unique_ptr<stream_cancel>& each) { return each->over(now); }),
+        stream_cancels_.end());
     flush_reports();
 }
 
 void transport::retire(attempt& ended) {
-    if (ended.left_running() && farewells_.size() < farewells_at_once) {
-        farewells_.push_back(std::make_unique<farewell>(ended, selector_, clock_.now()));
+    if (ended.left_running() && stream_cancels_.size() < stream_cancels_at_once) {
+        stream_cancels_.push_back(std::make_unique<stream_cancel>(ended, selector_, clock_.now()));
     }
     remember(ended);
     reports_.push_back(decision::attempt_ended{ended.order().attempt, ended.end()});
@@ -165,7 +166,7 @@
         each.second->abandon();
     }
     reap();
-    farewells_.clear();
+    stream_cancels_.clear();
 }
 
 base::duration transport::wait_time() const {
--- a/src/upstream/transport.h
+++ b/src/upstream/transport.h
@@ -35,7 +35,7 @@
     void interrupt() override { selector_.wake(); }
 
 private:
-    class farewell;
+    class stream_cancel;
     struct remembered_prefix {
         delivered_prefix prefix;
         base::time_point expires;
@@ -61,7 +61,7 @@
     cxxtools::Selector selector_;
     std::map<decision::attempt_key, std::unique_ptr<attempt>> attempts_;
     std::map<base::request_id, remembered_prefix> prefixes_;
-    std::vector<std::unique_ptr<farewell>> farewells_;
+    std::vector<std::unique_ptr<stream_cancel>> stream_cancels_;
     std::deque<decision::attempt_ended> reports_;
     base::time_point next_limit_ = base::time_point::max();
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr base::duration patience = 5s;
+constexpr base::duration time_limit = 5s;
 constexpr std::size_t ping_kind = 0;
 
 /// A port that was free a moment ago.
@@ -22,7 +22,7 @@
 }
 
 bool eventually(const std::function<bool()>& condition) {
-    for (base::duration waited{}; waited < patience; waited += 5ms) {
+    for (base::duration waited{}; waited < time_limit; waited += 5ms) {
         if (condition()) {
             return true;
         }
@@ -55,7 +55,7 @@
         tree.start([this](const base::error&) { failed = true; });
     }
     void send(decision::envelope what, const decision::endpoint& to) {
-        const base::push_result pushed = datagrams.push({to, std::move(what)}, patience);
+        const base::push_result pushed = datagrams.push({to, std::move(what)}, time_limit);
         REQUIRE(pushed == base::push_result::pushed);
     }
 
@@ -82,7 +82,7 @@
     a.send(ping_from("vm-a", 200), b.local);
     std::size_t updates = 0;
     while (updates < 200) {
-        const std::optional<decision::event> event = b.events.pop(patience);
+        const std::optional<decision::event> event = b.events.pop(time_limit);
         REQUIRE(event);
         const auto& received = std::get<decision::message_received>(*event);
         CHECK(received.what.header.sender == base::vm_id("vm-a"));
@@ -110,7 +110,7 @@
     CHECK(raw.send(std::string(2000, 'x'), b.local));
     CHECK(raw.send("", b.local));
     CHECK(raw.send(good, b.local));
-    CHECK(b.events.pop(patience));
+    CHECK(b.events.pop(time_limit));
     CHECK(eventually([&] { return b.in.errors(base::error_code::message_truncated) == 2; }));
     CHECK(b.in.errors(base::error_code::message_wrong_fleet) == 1);
     CHECK(b.in.errors(base::error_code::message_oversized) == 1);
--- a/tests/member_test.cpp
+++ b/tests/member_test.cpp
@@ -239,7 +239,7 @@
     }
 }
 
-TEST_CASE("a paused router refutes its own death and blames no peer for its pause") {
+TEST_CASE("a paused router refutes its own death and suspects no peer for its pause") {
     member_network fleet = started(small_fleet, 17);
     fleet.network().one_way = 240ms; // probes are open for most of a period
     fleet.run(1s);
@@ -311,7 +311,7 @@
     CHECK_FALSE(fleet.at(0).table->is_live(leaving));
 }
 
-TEST_CASE("messages of strangers, of earlier lives and of dead routers are refused by type") {
+TEST_CASE("messages of unknown routers, of earlier lives and of dead routers are refused by type") {
     member_network fleet = started(3, 21);
     decision::member& table = *fleet.at(0).table;
     decision::envelope what;
--- a/tests/schedule_test.cpp
+++ b/tests/schedule_test.cpp
@@ -321,8 +321,8 @@
 }
 
 /// Waits until everything ran and checks that every slot came back.
-void check_all_returned(network& net, base::duration patience) {
-    net.run(patience);
+void check_all_returned(network& net, base::duration time_limit) {
+    net.run(time_limit);
     CHECK(net.jobs.empty());
     CHECK(net.slots_in_use() == 0);
     for (std::size_t i = 0; i < net.nodes.size(); ++i) {
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr base::duration patience = 5s;
+constexpr base::duration time_limit = 5s;
 
 /// Collects what the transport delivers.
 class recorder final : public decision::exchange {
@@ -60,7 +60,7 @@
     }
     bool wait_for(std::size_t bytes) {
         std::unique_lock<std::mutex> lock(mutex_);
-        return changed_.wait_for(lock, patience, [&] { return text_.size() >= bytes; });
+        return changed_.wait_for(lock, time_limit, [&] { return text_.size() >= bytes; });
     }
     std::atomic<bool> withdrawn{false};
     std::atomic<bool> too_slow{false};
@@ -100,7 +100,7 @@
 
     /// The end of the next attempt; progress before it is counted.
     decision::attempt_ended next_end() {
-        const base::time_point end = time.now() + patience;
+        const base::time_point end = time.now() + time_limit;
         while (time.now() < end) {
             const std::optional<decision::event> next = events.pop(100ms);
             if (!next) {
