--- a/tests/queue_test.cpp
+++ b/tests/queue_test.cpp
@@ -1,8 +1,7 @@
 #include "decision/queue.h"
+#include "tests/property.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <rapidcheck.h>
 
 using namespace bluebell;
 using namespace bluebell::decision;
@@ -10,8 +9,8 @@
 
 namespace {
 
-/// Makes rapidcheck's runs repeatable.
-const int fixed_seed = setenv("RC_PARAMS", "seed=7 max_success=100", 0);
+constexpr std::uint64_t property_seed = 7;
+constexpr int property_cases = 100;
 
 const base::time_point start{1h};
 const base::pool_id text("text");
@@ -116,46 +115,49 @@
 }
 
 TEST_CASE("the order and the bounds hold after any sequence of changes") {
-    CHECK(rc::check([] {
-        const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-            rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 1000)));
-        queue waiting(queue_options{});
-        waiting.set_boost(text, base::normalised_cost(30));
-        std::map<std::uint64_t, waiting_request> model;
-        std::map<std::string, double> service;
-        std::uint64_t id = 0;
-        for (const auto& [kind, value] : steps) {
-            const std::string account(1, static_cast<char>('a' + value % 5));
-            if (kind == 0 || kind == 1) {
-                waiting_request added = make(++id, account, static_cast<request_class>(value % 3));
-                model.emplace(id, added);
-                RC_ASSERT(waiting.push(added, base::normalised_cost(service[account])).has_value());
-            } else if (kind == 2) {
-                service[account] += value % 17;
-                waiting.reprice({text, base::client_account_id(account)},
-                                base::normalised_cost(service[account]));
-            } else if (!model.empty() && value % 2 == 0) {
-                const std::uint64_t gone = 1 + static_cast<std::uint64_t>(value) % id;
-                RC_ASSERT(waiting.remove(base::request_id(base::wide{0, gone})).has_value() ==
-                          (model.erase(gone) == 1));
-            } else if (!model.empty()) {
-                std::map<std::string, double> keys;
-                for (const auto& [number, item] : model) {
-                    const std::string& name = item.what.account.value();
-                    const double key = service[name] - 30 * (1 - static_cast<int>(item.what.priority));
-                    keys[name] = keys.count(name) > 0 ? std::min(keys[name], key) : key;
+    CHECK(tests::holds(
+        property_seed,
+        [] {
+            const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+                rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 1000)));
+            queue waiting(queue_options{});
+            waiting.set_boost(text, base::normalised_cost(30));
+            std::map<std::uint64_t, waiting_request> model;
+            std::map<std::string, double> service;
+            std::uint64_t id = 0;
+            for (const auto& [kind, value] : steps) {
+                const std::string account(1, static_cast<char>('a' + value % 5));
+                if (kind == 0 || kind == 1) {
+                    waiting_request added = make(++id, account, static_cast<request_class>(value % 3));
+                    model.emplace(id, added);
+                    RC_ASSERT(waiting.push(added, base::normalised_cost(service[account])).has_value());
+                } else if (kind == 2) {
+                    service[account] += value % 17;
+                    waiting.reprice({text, base::client_account_id(account)},
+                                    base::normalised_cost(service[account]));
+                } else if (!model.empty() && value % 2 == 0) {
+                    const std::uint64_t gone = 1 + static_cast<std::uint64_t>(value) % id;
+                    RC_ASSERT(waiting.remove(base::request_id(base::wide{0, gone})).has_value() ==
+                              (model.erase(gone) == 1));
+                } else if (!model.empty()) {
+                    std::map<std::string, double> keys;
+                    for (const auto& [number, item] : model) {
+                        const std::string& name = item.what.account.value();
+                        const double key = service[name] - 30 * (1 - static_cast<int>(item.what.priority));
+                        keys[name] = keys.count(name) > 0 ? std::min(keys[name], key) : key;
+                    }
+                    const std::uint64_t next = popped(waiting);
+                    RC_ASSERT(model.count(next) == 1U);
+                    const double key = keys[model.at(next).what.account.value()];
+                    for (const auto& [name, other] : keys) {
+                        RC_ASSERT(key <= other);
+                    }
+                    model.erase(next);
                 }
-                const std::uint64_t next = popped(waiting);
-                RC_ASSERT(model.count(next) == 1U);
-                const double key = keys[model.at(next).what.account.value()];
-                for (const auto& [name, other] : keys) {
-                    RC_ASSERT(key <= other);
-                }
-                model.erase(next);
+                RC_ASSERT(waiting.size() == model.size());
+                RC_ASSERT(waiting.waiting(text) == model.size());
+                RC_ASSERT(waiting.body_bytes().value() == 100 * model.size());
             }
-            RC_ASSERT(waiting.size() == model.size());
-            RC_ASSERT(waiting.waiting(text) == model.size());
-            RC_ASSERT(waiting.body_bytes().value() == 100 * model.size());
-        }
-    }));
+        },
+        property_cases));
 }
--- a/tests/schedule_test.cpp
+++ b/tests/schedule_test.cpp
@@ -1,11 +1,10 @@
 #include "base/hash.h"
 #include "decision/schedule.h"
+#include "tests/property.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <functional>
 #include <random>
-#include <rapidcheck.h>
 
 using namespace bluebell;
 using namespace bluebell::decision;
@@ -13,8 +12,8 @@
 
 namespace {
 
-/// Makes rapidcheck's runs repeatable.
-const int fixed_seed = setenv("RC_PARAMS", "seed=7 max_success=25", 0);
+constexpr std::uint64_t property_seed = 7;
+constexpr int property_cases = 25;
 
 const base::time_point start{1h};
 const base::pool_id text("text");
@@ -422,25 +421,28 @@
 }
 
 TEST_CASE("lost, repeated and reordered messages start nothing twice and strand no slot") {
-    CHECK(rc::check([] {
-        network net(4, 3, 2, *rc::gen::arbitrary<std::uint64_t>());
-        net.loss = 0.01 * *rc::gen::inRange(0, 20);
-        net.repeats = 0.01 * *rc::gen::inRange(0, 30);
-        net.jitter = std::chrono::milliseconds(*rc::gen::inRange(0, 40));
-        bool over = false;
-        net.run(5s, [&] {
-            for (const char* name : {"a", "b", "c"}) {
-                refill(net, name, 5, 0, 4);
-            }
-            over = over || overloaded(net, 2);
-        });
-        RC_ASSERT(!over);
-        RC_ASSERT(!net.started_twice);
-        net.loss = 0;
-        net.run(12s);
-        RC_ASSERT(net.jobs.empty());
-        RC_ASSERT(net.slots_in_use() == 0);
-    }));
+    CHECK(tests::holds(
+        property_seed,
+        [] {
+            network net(4, 3, 2, *rc::gen::arbitrary<std::uint64_t>());
+            net.loss = 0.01 * *rc::gen::inRange(0, 20);
+            net.repeats = 0.01 * *rc::gen::inRange(0, 30);
+            net.jitter = std::chrono::milliseconds(*rc::gen::inRange(0, 40));
+            bool over = false;
+            net.run(5s, [&] {
+                for (const char* name : {"a", "b", "c"}) {
+                    refill(net, name, 5, 0, 4);
+                }
+                over = over || overloaded(net, 2);
+            });
+            RC_ASSERT(!over);
+            RC_ASSERT(!net.started_twice);
+            net.loss = 0;
+            net.run(12s);
+            RC_ASSERT(net.jobs.empty());
+            RC_ASSERT(net.slots_in_use() == 0);
+        },
+        property_cases));
 }
 
 TEST_CASE("the slots of a router that is killed or restarted empty come back") {
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -1,8 +1,7 @@
 #include "decision/share.h"
+#include "tests/property.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <rapidcheck.h>
 
 using namespace bluebell;
 using namespace bluebell::decision;
@@ -10,8 +9,8 @@
 
 namespace {
 
-/// Makes rapidcheck's runs repeatable.
-const int fixed_seed = setenv("RC_PARAMS", "seed=7 max_success=60", 0);
+constexpr std::uint64_t property_seed = 7;
+constexpr int property_cases = 60;
 
 const base::time_point start{1h};
 const share_key key{base::pool_id("text"), base::client_account_id("small")};
@@ -133,48 +132,51 @@
 }
 
 TEST_CASE("lost, repeated and reordered reports and answers leave no difference at the end") {
-    CHECK(rc::check([] {
-        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
-        home totals(share_options{});
-        share local(share_options{});
-        local.configure(config_with(1));
-        local.set_backlogged(key, true);
-        base::time_point now = start;
-        std::uint64_t sequence = 0;
-        std::vector<std::pair<message_header, usage>> sent;
-        double spent = 0;
-        const auto exchange = [&](bool lose) {
-            now += 2s;
-            for (const outgoing& item : local.collect([](const share_key&) { return home_vm; }, now)) {
-                sent.emplace_back(header_of("a", 1, ++sequence), std::get<usage>(item.body));
-                if (!lose) {
-                    totals.receive(sent.back().first, sent.back().second, no_time, now);
-                }
-            }
-            for (const outgoing& item : totals.collect(now)) {
-                for (const usage_total_entry& entry : std::get<usage_total>(item.body).entries) {
+    CHECK(tests::holds(
+        property_seed,
+        [] {
+            const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+            home totals(share_options{});
+            share local(share_options{});
+            local.configure(config_with(1));
+            local.set_backlogged(key, true);
+            base::time_point now = start;
+            std::uint64_t sequence = 0;
+            std::vector<std::pair<message_header, usage>> sent;
+            double spent = 0;
+            const auto exchange = [&](bool lose) {
+                now += 2s;
+                for (const outgoing& item : local.collect([](const share_key&) { return home_vm; }, now)) {
+                    sent.emplace_back(header_of("a", 1, ++sequence), std::get<usage>(item.body));
                     if (!lose) {
-                        local.merge(entry, header_of("vm-home", 1, ++sequence));
+                        totals.receive(sent.back().first, sent.back().second, no_time, now);
                     }
                 }
+                for (const outgoing& item : totals.collect(now)) {
+                    for (const usage_total_entry& entry : std::get<usage_total>(item.body).entries) {
+                        if (!lose) {
+                            local.merge(entry, header_of("vm-home", 1, ++sequence));
+                        }
+                    }
+                }
+            };
+            for (const int step : steps) {
+                charge running = local.start(key, base::cost(10));
+                local.finish(running, base::cost(step));
+                spent += step;
+                exchange(step % 3 == 0);
+                if (!sent.empty() && step % 2 == 0) {
+                    const auto& old = sent[static_cast<std::size_t>(step) % sent.size()];
+                    totals.receive(old.first, old.second, no_time, now);
+                }
             }
-        };
-        for (const int step : steps) {
-            charge running = local.start(key, base::cost(10));
-            local.finish(running, base::cost(step));
-            spent += step;
-            exchange(step % 3 == 0);
-            if (!sent.empty() && step % 2 == 0) {
-                const auto& old = sent[static_cast<std::size_t>(step) % sent.size()];
-                totals.receive(old.first, old.second, no_time, now);
-            }
-        }
-        exchange(false);
-        exchange(false);
-        RC_ASSERT(std::abs(total(totals) - spent) < 1e-6);
-        RC_ASSERT(std::abs(local.normalised(key).value() - spent) < 1e-6);
-        RC_ASSERT(local.collect([](const share_key&) { return home_vm; }, now + 2s).empty());
-    }));
+            exchange(false);
+            exchange(false);
+            RC_ASSERT(std::abs(total(totals) - spent) < 1e-6);
+            RC_ASSERT(std::abs(local.normalised(key).value() - spent) < 1e-6);
+            RC_ASSERT(local.collect([](const share_key&) { return home_vm; }, now + 2s).empty());
+        },
+        property_cases));
 }
 
 TEST_CASE("homes that do not answer are not asked again and again") {
