Remove an unused method of the schedule

Cause: schedule::refuse_waiting had no caller; at the drain limit lifecycle refuses waiting requests itself, since it also withdraws their claims.

Change: the method is removed.

Conclusion: one path refuses waiting requests.

--- a/src/decision/schedule.cpp
+++ b/src/decision/schedule.cpp
@@ -147,13 +147,6 @@
     return removed.has_value();
 }
 
-void schedule::refuse_waiting(base::error_code code, base::time_point now) {
-    now_ = now;
-    for (waiting_request& item : queue_.remove_if([](const request&) { return true; })) {
-        refuse(std::move(item), base::error{code, self_.value(), "the request was still waiting"});
-    }
-}
-
 void schedule::refuse(waiting_request&& removed, base::error cause) {
     left_queue(share_key{removed.what.pool, removed.what.account});
     output_.refused.push_back(refused_request{std::move(removed.what), std::move(cause)});
--- a/src/decision/schedule.h
+++ b/src/decision/schedule.h
@@ -98,9 +98,6 @@
     /// Removes a waiting request without output. Returns false if it does not wait.
     bool cancel(const base::request_id& id, base::time_point now);
 
-    /// Refuses every waiting request with `code`; for the drain limit.
-    void refuse_waiting(base::error_code code, base::time_point now);
-
     /// Control messages. The sender need not be a live member; unknown names are ignored.
     void receive(const message_header& header, const bid& body, base::time_point now);
     void receive(const message_header& header, const grant& body, base::time_point now);
