Choose free ports in one function

Cause: the object API stand-in had its own copy of edge::free_port.

Change: stand-in and tests call edge::free_port; the stand-in still fails with the same message if there is none.

Conclusion: ports are chosen in one place.

--- a/standin/objects.cpp
+++ b/standin/objects.cpp
@@ -1,6 +1,6 @@
 #include "standin/objects.h"
 
-#include "base/guard.h"
+#include "edge/host.h"
 
 #include <algorithm>
 #include <cstring>
@@ -11,11 +11,8 @@
 #include <cxxtools/query_params.h>
 #include <cxxtools/regex.h>
 #include <cxxtools/serializationinfo.h>
-#include <netinet/in.h>
 #include <sstream>
 #include <stdexcept>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace bluebell::standin {
 namespace {
@@ -101,6 +98,14 @@
     }
 }
 
+std::uint16_t chosen_port() {
+    const std::uint16_t port = edge::free_port();
+    if (port == 0) {
+        throw std::runtime_error("no free port on the loopback address");
+    }
+    return port;
+}
+
 class object_responder final : public cxxtools::http::Responder {
 public:
     object_responder(cxxtools::http::Service& service, object_table& table)
@@ -386,23 +391,8 @@
     changed_.wait_for(lock, silent_limit, [this] { return closed_ || !fault_.silent; });
 }
 
-std::uint16_t free_port() {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    const base::scope_guard closer([fd] { ::close(fd); });
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): required by the socket interface
-    sockaddr* generic = reinterpret_cast<sockaddr*>(&address);
-    if (::bind(fd, generic, size) != 0 || ::getsockname(fd, generic, &size) != 0) {
-        throw std::runtime_error("no free port on the loopback address");
-    }
-    return ntohs(address.sin_port);
-}
-
 object_server::object_server(std::uint16_t port)
-    : port_(port != 0 ? port : free_port()), service_(std::make_unique<object_service>(table_)),
+    : port_(port != 0 ? port : chosen_port()), service_(std::make_unique<object_service>(table_)),
       server_(std::make_unique<cxxtools::http::Server>(loop_, "127.0.0.1", port_)) {
     server_->minThreads(4);
     server_->maxThreads(server_threads);
--- a/standin/objects.h
+++ b/standin/objects.h
@@ -130,7 +130,4 @@
     std::thread thread_;
 };
 
-/// A TCP port of the loopback address that was free a moment ago.
-std::uint16_t free_port();
-
 } // namespace bluebell::standin
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,3 +1,4 @@
+#include "edge/host.h"
 #include "platform/http.h"
 #include "standin/objects.h"
 
@@ -72,7 +73,7 @@
 }
 
 TEST_CASE("only a failed connect is reported as unavailable, because only then no effect is possible") {
-    http_object_store refused(at(standin::free_port()), test_limits);
+    http_object_store refused(at(edge::free_port()), test_limits);
     CHECK(code_of(refused.update(object_name("a"), "one", object_version(0))) ==
           error_code::store_unavailable);
 
@@ -86,7 +87,7 @@
 }
 
 TEST_CASE("a peer that accepts and stays silent does not block the caller beyond the time limits") {
-    const std::uint16_t port = standin::free_port();
+    const std::uint16_t port = edge::free_port();
     const cxxtools::net::TcpServer silent("127.0.0.1", port);
     http_object_store store(at(port), test_limits);
     const base::time_point start = std::chrono::steady_clock::now();
@@ -111,7 +112,7 @@
 }
 
 TEST_CASE("the rest of an answer that stalled is not taken for the answer to the next call") {
-    const std::uint16_t port = standin::free_port();
+    const std::uint16_t port = edge::free_port();
     cxxtools::net::TcpServer listener("127.0.0.1", port);
     std::thread server([&] {
         cxxtools::net::TcpSocket stalled(listener);
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -1,4 +1,5 @@
 #include "base/supervisor.h"
+#include "edge/host.h"
 #include "platform/release.h"
 #include "platform/vms.h"
 #include "standin/objects.h"
@@ -174,7 +175,7 @@
 }
 
 TEST_CASE("in a store outage a release comes from a peer, and the worker takes up reading afterwards") {
-    const std::uint16_t port = standin::free_port();
+    const std::uint16_t port = edge::free_port();
     std::string peer_text;
     {
         standin::object_server earlier(port);
