--- /dev/null
+++ b/src/root/options.cpp
@@ -0,0 +1,181 @@
+#include "root/options.h"
+
+#include "base/ini.h"
+
+#include <sstream>
+#include <utility>
+
+namespace bluebell::root {
+namespace {
+
+using base::error_code;
+using base::setting_spec;
+using base::setting_type;
+
+setting_spec required(std::string section, std::string key, setting_type type, std::string description) {
+    return {std::move(section), std::move(key), type, std::nullopt, "", "", {}, std::move(description)};
+}
+
+setting_spec optional_text(std::string section, std::string key, std::string fallback,
+                           std::string description) {
+    return {std::move(section),    std::move(key), setting_type::text, std::move(fallback), "", "", {},
+            std::move(description)};
+}
+
+setting_spec ranged(std::string section, std::string key, setting_type type, std::string fallback,
+                    std::string lowest, std::string highest, std::string description) {
+    return {std::move(section), std::move(key),     type, std::move(fallback),
+            std::move(lowest),  std::move(highest), {},   std::move(description)};
+}
+
+std::vector<setting_spec> make_schema() {
+    return {
+        required("vm", "name", setting_type::text, "name of this VM, unique in the fleet"),
+        required("vm", "data_centre", setting_type::text, "data centre of this VM"),
+        optional_text("vm", "region", "default", "region of the data centre"),
+        required("fleet", "name", setting_type::text,
+                 "name of the fleet; control messages of other fleets are dropped"),
+        required("listen", "callers", setting_type::address, "where callers send requests (TCP)"),
+        required("listen", "admin", setting_type::address, "health, metrics, dump and drain (TCP)"),
+        required("listen", "control", setting_type::address, "messages between routers (UDP)"),
+        required("store", "address", setting_type::address, "the platform's object API"),
+        ranged("store", "timeout", setting_type::time_span, "2s", "100ms", "30s",
+               "longest wait for one call to the object API"),
+        ranged("limits", "requests", setting_type::integer, "200", "1", "2000",
+               "requests in progress; each holds one thread"),
+        ranged("limits", "body", setting_type::bytes, "1MiB", "1KiB", "16MiB", "largest request body"),
+        ranged("limits", "account_queue", setting_type::integer, "64", "1", "10000",
+               "waiting requests of one client account for one pool"),
+        ranged("limits", "queue_bytes", setting_type::bytes, "64MiB", "1MiB", "512MiB",
+               "bodies of all waiting requests"),
+        ranged("limits", "deadline", setting_type::time_span, "2min", "1s", "1h",
+               "longest time from arrival to the end of the answer"),
+        ranged("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "2s",
+               "interval of service reports to the homes of client accounts"),
+        ranged("schedule", "bid_interval", setting_type::time_span, "200ms", "20ms", "2s",
+               "interval at which standing bids are repeated"),
+        ranged("schedule", "bid_fanout", setting_type::integer, "8", "1", "64",
+               "owners of upstreams that one pool's bid goes to"),
+        ranged("claims", "partitions", setting_type::integer, "64", "1", "1024",
+               "parts of the key space; must be the same on every router and must not change"),
+        ranged("claims", "spacing", setting_type::time_span, "20ms", "5ms", "2s",
+               "shortest interval between two journal writes of one partition"),
+        ranged("claims", "retention", setting_type::time_span, "24h", "1h", "168h",
+               "how long an idempotency key is remembered"),
+        ranged("upstream", "connect_timeout", setting_type::time_span, "1s", "50ms", "30s",
+               "longest wait for a connection to an upstream"),
+        ranged("upstream", "first_byte_timeout", setting_type::time_span, "30s", "100ms", "10min",
+               "longest wait for the first byte of an answer"),
+        ranged("upstream", "between_bytes_timeout", setting_type::time_span, "10s", "100ms", "10min",
+               "longest silence within an answer"),
+        ranged("drain", "limit", setting_type::time_span, "1min", "1s", "1h",
+               "how long a stop waits for waiting requests"),
+        {"log",
+         "level",
+         setting_type::choice,
+         "info",
+         "",
+         "",
+         {"debug", "info", "warning", "error"},
+         "lowest level that is logged"},
+    };
+}
+
+base::log_level level_of(const std::string& text) {
+    if (text == "debug") {
+        return base::log_level::debug;
+    }
+    if (text == "warning") {
+        return base::log_level::warning;
+    }
+    return text == "error" ? base::log_level::error : base::log_level::info;
+}
+
+options to_options(const base::settings& from) {
+    options to;
+    to.vm = base::vm_id(from.text("vm", "name"));
+    to.data_centre = base::data_centre_id(from.text("vm", "data_centre"));
+    to.region = from.text("vm", "region");
+    to.fleet = from.text("fleet", "name");
+    to.callers = from.endpoint("listen", "callers");
+    to.admin = from.endpoint("listen", "admin");
+    to.control = from.endpoint("listen", "control");
+    to.store = from.endpoint("store", "address");
+    to.store_timeout = from.time("store", "timeout");
+    to.requests = from.integer("limits", "requests");
+    to.body = from.bytes("limits", "body");
+    to.account_queue = from.integer("limits", "account_queue");
+    to.queue_bytes = from.bytes("limits", "queue_bytes");
+    to.deadline = from.time("limits", "deadline");
+    to.report_interval = from.time("schedule", "report_interval");
+    to.bid_interval = from.time("schedule", "bid_interval");
+    to.bid_fanout = from.integer("schedule", "bid_fanout");
+    to.partitions = from.integer("claims", "partitions");
+    to.claim_spacing = from.time("claims", "spacing");
+    to.claim_retention = from.time("claims", "retention");
+    to.connect_timeout = from.time("upstream", "connect_timeout");
+    to.first_byte_timeout = from.time("upstream", "first_byte_timeout");
+    to.between_bytes_timeout = from.time("upstream", "between_bytes_timeout");
+    to.drain_limit = from.time("drain", "limit");
+    to.log = level_of(from.text("log", "level"));
+    return to;
+}
+
+/// Values that are in range each but do not fit together.
+std::vector<base::error> find_contradictions(const base::settings& values, const options& read) {
+    std::vector<base::error> errors;
+    if (read.first_byte_timeout > read.deadline) {
+        errors.push_back({error_code::settings_contradiction, values.place("upstream", "first_byte_timeout"),
+                          "[upstream] first_byte_timeout exceeds [limits] deadline"});
+    }
+    if (read.body > read.queue_bytes) {
+        errors.push_back({error_code::settings_contradiction, values.place("limits", "body"),
+                          "[limits] body exceeds [limits] queue_bytes"});
+    }
+    if (read.callers.port != 0 && read.callers.port == read.admin.port && read.callers.ip == read.admin.ip) {
+        errors.push_back({error_code::settings_contradiction, values.place("listen", "admin"),
+                          "[listen] admin and callers are the same address"});
+    }
+    return errors;
+}
+
+} // namespace
+
+const std::vector<setting_spec>& option_schema() {
+    static const std::vector<setting_spec> schema = make_schema();
+    return schema;
+}
+
+tl::expected<options, std::vector<base::error>> read_options(std::istream& in, const std::string& file) {
+    const base::result<base::ini_file> text = base::read_ini(in, file);
+    if (!text) {
+        return tl::unexpected<std::vector<base::error>>({text.error()});
+    }
+    const tl::expected<base::settings, std::vector<base::error>> values =
+        base::settings::check(*text, option_schema());
+    if (!values) {
+        return tl::unexpected<std::vector<base::error>>(values.error());
+    }
+    options read = to_options(*values);
+    std::vector<base::error> contradictions = find_contradictions(*values, read);
+    if (!contradictions.empty()) {
+        return tl::unexpected<std::vector<base::error>>(std::move(contradictions));
+    }
+    return read;
+}
+
+std::string describe_options() {
+    std::ostringstream table;
+    table << "| section | key | type | range | default | meaning |\n| --- | --- | --- | --- | --- | --- |\n";
+    for (const setting_spec& spec : option_schema()) {
+        std::string range = spec.lowest.empty() ? "" : spec.lowest + " to " + spec.highest;
+        for (const std::string& choice : spec.choices) {
+            range += (range.empty() ? "" : ", ") + choice;
+        }
+        table << "| " << spec.section << " | " << spec.key << " | " << to_string(spec.type) << " | " << range
+              << " | " << spec.fallback.value_or("required") << " | " << spec.description << " |\n";
+    }
+    return table.str();
+}
+
+} // namespace bluebell::root
