--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -456,10 +456,21 @@
 
 void put(output& out, const decision::grant& body) {
     put_grant(out, body);
+    put(out, body.other_key.has_value());
+    if (body.other_key) {
+        put(out, body.other_key->value());
+    }
 }
 
 void take(input& in, decision::grant& body) {
     take_grant(in, body);
+    bool has_key = false;
+    take(in, has_key);
+    if (has_key) {
+        double key = 0;
+        take(in, key);
+        body.other_key = base::normalised_cost(key);
+    }
 }
 
 void put(output& out, const decision::release& body) {
--- /dev/null
+++ b/src/root/daemon.cpp
@@ -0,0 +1,273 @@
+#include "root/daemon.h"
+
+#include "edge/admin.h"
+#include "edge/callers.h"
+#include "fleet/receiver.h"
+#include "fleet/sender.h"
+#include "platform/http.h"
+#include "platform/journal.h"
+#include "platform/release.h"
+#include "platform/vms.h"
+#include "upstream/load.h"
+#include "upstream/transport.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace bluebell::root {
+namespace {
+
+constexpr std::size_t event_capacity = 8192;
+constexpr std::size_t datagram_capacity = 4096;
+constexpr std::size_t journal_capacity = 256;
+constexpr std::size_t release_capacity = 64;
+constexpr std::size_t load_capacity = 4;
+constexpr base::duration report_timeout = std::chrono::seconds(1);
+constexpr base::duration config_timeout = std::chrono::seconds(2);
+constexpr base::restart_limit subtree_limit{5, std::chrono::seconds(10)};
+constexpr base::restart_limit root_limit{5, std::chrono::minutes(1)};
+
+std::uint64_t system_seed() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+/// Start number of a router: wall clock in microseconds, so that a restarted process has a higher one without
+/// any memory. Peers correct it if the wall clock was set back.
+base::incarnation new_life() {
+    const std::chrono::system_clock::duration since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    return base::incarnation(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
+}
+
+decision::endpoint to_endpoint(const base::address& from) {
+    return {from.ip, from.port};
+}
+
+template <typename T>
+decision::state_value depth(const std::string& name, const base::ring<T>& of) {
+    return {name, "{\"size\":" + std::to_string(of.size()) +
+                      ",\"capacity\":" + std::to_string(of.capacity()) + '}'};
+}
+
+} // namespace
+
+daemon::daemon(options settings)
+    : settings_(std::move(settings)), codec_(settings_.fleet), ids_(system_seed(), system_seed()),
+      events_(event_capacity), transport_(static_cast<std::size_t>(settings_.requests) * 2),
+      datagrams_(datagram_capacity), journal_(journal_capacity), release_(release_capacity),
+      load_(load_capacity), root_("root", base::restart_strategy::rest_for_one, root_limit, clock_) {
+    add_platform();
+    add_fleet();
+    add_decision();
+    add_upstream();
+    add_edge();
+}
+
+daemon::~daemon() {
+    stop();
+}
+
+std::unique_ptr<base::supervisor> daemon::subtree(const std::string& name) const {
+    return std::make_unique<base::supervisor>(name, base::restart_strategy::one_for_one, subtree_limit,
+                                              clock_);
+}
+
+void daemon::add_platform() {
+    const decision::endpoint store = to_endpoint(settings_.store);
+    platform::call_limits limits;
+    limits.answer = settings_.store_timeout;
+    std::unique_ptr<base::supervisor> node = subtree("platform");
+    node->add(std::make_unique<platform::release_worker>(
+        std::make_unique<platform::http_object_store>(store, limits),
+        std::make_unique<platform::http_config_peer>(limits), release_, events_, clock_, system_seed(),
+        platform::release_timing{}));
+    node->add(std::make_unique<platform::vms_worker>(std::make_unique<platform::http_vm_list>(store, limits),
+                                                     events_, system_seed()));
+    node->add(std::make_unique<platform::journal>(
+        std::make_unique<platform::http_object_store>(store, limits), clock_, platform::journal_settings{},
+        system_seed(), journal_, events_));
+    root_.add(std::move(node));
+}
+
+void daemon::add_fleet() {
+    std::unique_ptr<base::supervisor> node = subtree("fleet");
+    node->add(std::make_unique<fleet::receiver>(to_endpoint(settings_.control), codec_, events_, received_));
+    node->add(std::make_unique<fleet::sender>(codec_, datagrams_, sent_));
+    root_.add(std::move(node));
+}
+
+void daemon::add_decision() {
+    // Without restarts of its own, a failure goes to the root, which restarts upstream and edge as well.
+    std::unique_ptr<base::supervisor> node =
+        std::make_unique<base::supervisor>("decision", base::restart_strategy::one_for_one,
+                                           base::restart_limit{0, std::chrono::seconds(10)}, clock_);
+    node->add(std::make_unique<decision::decider>(
+        decision::decider_links{events_, transport_, datagrams_, journal_, release_, load_, view_},
+        [this] { return router_settings(); }, clock_));
+    root_.add(std::move(node));
+}
+
+void daemon::add_upstream() {
+    upstream::attempt_limits limits;
+    limits.connect = settings_.connect_timeout;
+    limits.first_byte = settings_.first_byte_timeout;
+    limits.between_bytes = settings_.between_bytes_timeout;
+    std::unique_ptr<base::supervisor> node = subtree("upstream");
+    node->add(std::make_unique<upstream::transport>(transport_, events_, clock_, limits));
+    node->add(std::make_unique<upstream::load>(load_, events_, clock_, upstream::load_options{}));
+    root_.add(std::move(node));
+}
+
+void daemon::add_edge() {
+    edge::callers_options served;
+    served.address = to_endpoint(settings_.callers);
+    served.admission_limit = static_cast<unsigned>(settings_.requests);
+    served.body_limit = settings_.body;
+    served.request_deadline = settings_.deadline;
+    std::unique_ptr<base::supervisor> node = subtree("edge");
+    node->add(std::make_unique<edge::admin>(edge::admin_options{to_endpoint(settings_.admin)},
+                                            static_cast<edge::operations&>(*this)));
+    node->add(std::make_unique<edge::callers>(served, static_cast<const edge::directory&>(*this), ids_,
+                                              events_, clock_, metrics_));
+    root_.add(std::move(node));
+}
+
+decision::router_options daemon::router_settings() const {
+    decision::router_options made;
+    made.self = settings_.vm;
+    made.life = new_life();
+    made.seed = system_seed();
+    made.member.self = settings_.vm;
+    made.member.life = made.life;
+    made.member.address = to_endpoint(settings_.control);
+    made.member.seed = system_seed();
+    made.schedule.share.report_interval = settings_.report_interval;
+    made.schedule.queue.max_per_account = static_cast<std::size_t>(settings_.account_queue);
+    made.schedule.queue.max_body_bytes = settings_.queue_bytes;
+    made.schedule.permit.bid_interval = settings_.bid_interval;
+    made.schedule.permit.bid_fanout = static_cast<std::size_t>(settings_.bid_fanout);
+    made.claims.partitions = static_cast<std::uint16_t>(settings_.partitions);
+    made.journal.partitions = made.claims.partitions;
+    made.journal.spacing = settings_.claim_spacing;
+    made.journal.retention = settings_.claim_retention;
+    made.drain.limit = settings_.drain_limit;
+    return made;
+}
+
+void daemon::start() {
+    root_.start([this](const base::error&) { failed_ = true; });
+}
+
+void daemon::stop() {
+    root_.stop();
+}
+
+void daemon::drain() {
+    events_.push(decision::drain_requested{}, report_timeout);
+}
+
+bool daemon::drained() const {
+    const std::shared_ptr<const decision::router_view> view = view_.current();
+    return view && view->drained;
+}
+
+std::shared_ptr<const decision::fleet_config> daemon::lookup() const {
+    const std::shared_ptr<const decision::router_view> view = view_.current();
+    return view ? view->config : nullptr;
+}
+
+base::result<void> daemon::readiness() const {
+    const std::shared_ptr<const decision::router_view> view = view_.current();
+    if (view && view->ready) {
+        return {};
+    }
+    if (view && view->draining) {
+        return base::failure(base::error_code::draining, "", "the router is draining");
+    }
+    return base::failure(base::error_code::not_ready, "",
+                         "no confirmed configuration, or neither store nor peers are reached");
+}
+
+base::result<decision::state_report> daemon::status() {
+    const std::shared_ptr<base::ring<decision::state_report>> reply =
+        std::make_shared<base::ring<decision::state_report>>(1);
+    if (events_.push(decision::report_requested{reply}, report_timeout) != base::push_result::pushed) {
+        return base::failure(base::error_code::not_ready, "decider", "the decider does not take requests");
+    }
+    std::optional<decision::state_report> report = reply->pop(report_timeout);
+    if (!report) {
+        return base::failure(base::error_code::not_ready, "decider", "the decider did not answer in time");
+    }
+    return std::move(*report);
+}
+
+base::result<decision::state_report> daemon::dump() {
+    base::result<decision::state_report> report = status();
+    if (report) {
+        report->push_back(ring_section());
+    }
+    return report;
+}
+
+decision::state_section daemon::ring_section() const {
+    return {"rings",
+            {depth("events", events_), depth("transport", transport_), depth("datagrams", datagrams_),
+             depth("journal", journal_), depth("release", release_), depth("load", load_)}};
+}
+
+std::string daemon::dump_text() {
+    const base::result<decision::state_report> report = dump();
+    return "{\"tree\":" + edge::to_json(root_.report()) +
+           (report ? ",\"state\":" + edge::to_json(*report) : std::string()) + '}';
+}
+
+void daemon::set_gauges(const decision::state_report& report) {
+    for (const decision::state_section& section : report) {
+        for (const decision::state_value& value : section.values) {
+            try {
+                std::size_t used = 0;
+                const double number = std::stod(value.json, &used);
+                if (used == value.json.size()) {
+                    metrics_.set({"bluebell_" + section.name + "_" + value.name, {}}, number);
+                }
+            } catch (const std::exception&) {
+                // Values that are no numbers are for the dump only.
+                continue;
+            }
+        }
+    }
+}
+
+std::string daemon::metrics() {
+    if (const base::result<decision::state_report> report = status()) {
+        set_gauges(*report);
+    }
+    for (std::size_t kind = 0; kind < fleet::message_kind_count; ++kind) {
+        const std::string name(fleet::message_kind_name(kind));
+        metrics_.set({"bluebell_control_sent_messages", {{"kind", name}}},
+                     static_cast<double>(sent_.of_kind(kind).messages));
+        metrics_.set({"bluebell_control_sent_bytes", {{"kind", name}}},
+                     static_cast<double>(sent_.of_kind(kind).bytes));
+        metrics_.set({"bluebell_control_received_bytes", {{"kind", name}}},
+                     static_cast<double>(received_.of_kind(kind).bytes));
+    }
+    return metrics_.text();
+}
+
+base::result<std::string> daemon::config(const std::string& chunk) {
+    if (!chunk.empty()) {
+        return base::failure(base::error_code::store_not_found, chunk, "chunks are part of /config");
+    }
+    const std::shared_ptr<base::ring<std::string>> reply = std::make_shared<base::ring<std::string>>(1);
+    release_.push(decision::config_requested{reply}, report_timeout);
+    std::optional<std::string> text = reply->pop(config_timeout);
+    if (!text || text->empty()) {
+        return base::failure(base::error_code::not_ready, "release", "no configuration in force yet");
+    }
+    return std::move(*text);
+}
+
+} // namespace bluebell::root
--- /dev/null
+++ b/src/root/daemon.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "base/metrics.h"
+#include "base/ring.h"
+#include "base/snapshot.h"
+#include "base/supervisor.h"
+#include "decision/decider.h"
+#include "edge/directory.h"
+#include "edge/operations.h"
+#include "edge/source.h"
+#include "fleet/codec.h"
+#include "fleet/traffic.h"
+#include "root/options.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace bluebell::root {
+
+/// The whole router: rings, workers and the supervisor tree over them.
+/// Thread safety: `start`, `stop` and `drain_and_stop` by one thread; the interfaces for the front end by
+/// any.
+class daemon final : private edge::directory, private edge::operations {
+public:
+    explicit daemon(options settings);
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+    daemon(daemon&&) = delete;
+    daemon& operator=(daemon&&) = delete;
+    ~daemon() override;
+
+    void start();
+    /// Stops the tree in reverse order. Requests in progress end first, within the stop limit of the edge.
+    void stop();
+    /// Starts a graceful stop; returns at once.
+    void drain() override;
+    [[nodiscard]] bool drained() const;
+    /// The root gave up because its children kept failing.
+    [[nodiscard]] bool failed() const { return failed_; }
+
+    [[nodiscard]] const options& settings() const { return settings_; }
+    /// The state of the whole process as JSON.
+    std::string dump_text();
+
+private:
+    [[nodiscard]] std::shared_ptr<const decision::fleet_config> lookup() const override;
+    [[nodiscard]] base::result<void> readiness() const override;
+    [[nodiscard]] base::child_report tree() const override { return root_.report(); }
+    base::result<decision::state_report> dump() override;
+    base::result<decision::state_report> status() override;
+    std::string metrics() override;
+    base::result<std::string> config(const std::string& chunk) override;
+
+    void add_platform();
+    void add_fleet();
+    void add_decision();
+    void add_upstream();
+    void add_edge();
+    [[nodiscard]] std::unique_ptr<base::supervisor> subtree(const std::string& name) const;
+    [[nodiscard]] decision::router_options router_settings() const;
+    [[nodiscard]] decision::state_section ring_section() const;
+    void set_gauges(const decision::state_report& report);
+
+    options settings_;
+    base::steady_clock clock_;
+    base::metrics metrics_;
+    fleet::codec codec_;
+    fleet::traffic received_;
+    fleet::traffic sent_;
+    edge::random_source ids_;
+    base::snapshot<decision::router_view> view_;
+    base::ring<decision::event> events_;
+    base::ring<decision::transport_command> transport_;
+    base::ring<decision::datagram> datagrams_;
+    base::ring<decision::journal_command> journal_;
+    base::ring<decision::release_command> release_;
+    base::ring<decision::watch_load> load_;
+    std::atomic<bool> failed_{false};
+    base::supervisor root_;
+};
+
+} // namespace bluebell::root
--- /dev/null
+++ b/src/root/main.cpp
@@ -0,0 +1,146 @@
+#include "base/log.h"
+#include "edge/host.h"
+#include "fleet/socket.h"
+#include "root/daemon.h"
+
+#include <csignal>
+#include <cstring>
+#include <ctime>
+#include <docopt/docopt.h>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <optional>
+
+namespace {
+
+using bluebell::root::daemon;
+using bluebell::root::options;
+
+const char* const usage = R"(bluebelld, a router of a bluebelldale fleet.
+
+Usage:
+  bluebelld --config FILE
+  bluebelld --check-config FILE
+  bluebelld (-h | --help)
+  bluebelld --version
+
+Options:
+  --config FILE        Run with these settings.
+  --check-config FILE  Check the settings and exit.
+  -h --help            Show this text.
+  --version            Show the version.
+
+Signals: TERM and INT drain the router and stop it, a second one stops it at once; USR1 writes the state of the
+process to standard error as one JSON line.
+
+Exit codes: 0 stopped or settings are good, 1 failed, 2 bad settings or usage.
+
+Examples:
+  bluebelld --check-config examples/oslo.ini
+  bluebelld --config /etc/bluebelld.ini
+)";
+
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr long poll_ns = 100'000'000;
+
+std::optional<options> load_options(const std::string& file) {
+    std::ifstream in(file);
+    if (!in) {
+        std::cerr << file << ": settings_unreadable: " << std::strerror(errno) << '\n';
+        return std::nullopt;
+    }
+    const tl::expected<options, std::vector<bluebell::base::error>> read =
+        bluebell::root::read_options(in, file);
+    if (!read) {
+        for (const bluebell::base::error& fault : read.error()) {
+            std::cerr << fault.place << ": " << fault.code << ": " << fault.text << '\n';
+        }
+        return std::nullopt;
+    }
+    return *read;
+}
+
+/// Replaces port 0 by a free one, since peers and callers must learn the real one.
+void choose_ports(options& settings) {
+    if (settings.callers.port == 0) {
+        settings.callers.port = bluebell::edge::free_port();
+    }
+    if (settings.admin.port == 0) {
+        settings.admin.port = bluebell::edge::free_port();
+    }
+    if (settings.control.port == 0) {
+        settings.control.port = bluebell::fleet::udp_socket({settings.control.ip, 0}).local().port;
+    }
+}
+
+std::string text(const bluebell::base::address& of) {
+    return of.ip + ':' + std::to_string(of.port);
+}
+
+/// Waits for signals until the router is drained, told twice to stop, or has failed.
+int serve(daemon& router, const sigset_t& signals) {
+    bool draining = false;
+    while (!router.drained() && !router.failed()) {
+        const timespec timeout{0, poll_ns};
+        const int received = sigtimedwait(&signals, nullptr, &timeout);
+        if (received == SIGUSR1) {
+            std::cerr << router.dump_text() << std::endl;
+        } else if (received == SIGTERM || received == SIGINT) {
+            if (draining) {
+                break;
+            }
+            draining = true;
+            router.drain();
+        }
+    }
+    router.stop();
+    return router.failed() ? exit_failed : 0;
+}
+
+int run(options settings) {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int each : {SIGTERM, SIGINT, SIGUSR1}) {
+        sigaddset(&signals, each);
+    }
+    // Blocked before any thread starts, so that only `serve` receives them.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    choose_ports(settings);
+    bluebell::base::start_log(settings.log, "bluebelld");
+    daemon router(settings);
+    router.start();
+    std::cout << "listening callers=" << text(settings.callers) << " admin=" << text(settings.admin)
+              << " control=" << text(settings.control) << std::endl;
+    return serve(router, signals);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        std::map<std::string, docopt::value> args =
+            docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+        const bool check = args["--check-config"].isString();
+        std::optional<options> settings =
+            load_options(args[check ? "--check-config" : "--config"].asString());
+        if (!settings) {
+            return exit_usage;
+        }
+        return check ? 0 : run(*settings);
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return 0;
+    } catch (const docopt::DocoptExitVersion&) {
+        std::cout << "bluebelld " BLUEBELL_VERSION "\n";
+        return 0;
+    } catch (const docopt::DocoptArgumentError& fault) {
+        std::cerr << "usage: " << fault.what() << "\n\n" << usage;
+        return exit_usage;
+    } catch (const std::exception& fault) {
+        std::cerr << "bluebelld: " << fault.what() << '\n';
+        return exit_failed;
+    }
+}
