--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -1,6 +1,7 @@
 #include "base/metrics.h"
 
 #include <boost/histogram.hpp>
+#include <limits>
 #include <sstream>
 
 namespace bluebell::base {
@@ -17,6 +18,9 @@
     return values;
 }
 
+/// The default of six digits would round byte counts above 1 MB, and with them their rates.
+constexpr int digits = std::numeric_limits<double>::digits10;
+
 /// Boost's bins are closed below; the first one starts at zero.
 histogram empty_histogram() {
     std::vector<double> edges = {0.0};
@@ -105,6 +109,7 @@
 
 std::string metrics::text() const {
     std::ostringstream out;
+    out.precision(digits);
     std::string last;
     const std::lock_guard<std::mutex> lock(mutex_);
     for (const std::pair<const metric, std::uint64_t>& each : counters_) {
--- a/src/root/daemon.cpp
+++ b/src/root/daemon.cpp
@@ -12,6 +12,8 @@
 #include "upstream/transport.h"
 
 #include <chrono>
+#include <exception>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -52,6 +54,32 @@
                       ",\"capacity\":" + std::to_string(of.capacity()) + '}'};
 }
 
+/// Numbers and truth values; other values are for the dump only.
+std::optional<double> gauge_value(const std::string& json) {
+    if (json == "true" || json == "false") {
+        return json == "true" ? 1 : 0;
+    }
+    try {
+        std::size_t used = 0;
+        const double number = std::stod(json, &used);
+        return used == json.size() ? std::optional<double>(number) : std::nullopt;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+/// A value `NAME/POOL` becomes a series with a label, since the name of a metric may have neither the slash
+/// nor all characters of a pool name.
+base::metric gauge_name(const std::string& section, const std::string& value) {
+    const std::size_t slash = value.find('/');
+    base::metric series{"bluebell_" + section + '_' + value.substr(0, slash), {}};
+    if (slash != std::string::npos) {
+        series.name += "_by_pool";
+        series.labels.emplace_back("pool", value.substr(slash + 1));
+    }
+    return series;
+}
+
 } // namespace
 
 daemon::daemon(options settings)
@@ -227,15 +255,8 @@
 void daemon::set_gauges(const decision::state_report& report) {
     for (const decision::state_section& section : report) {
         for (const decision::state_value& value : section.values) {
-            try {
-                std::size_t used = 0;
-                const double number = std::stod(value.json, &used);
-                if (used == value.json.size()) {
-                    metrics_.set({"bluebell_" + section.name + "_" + value.name, {}}, number);
-                }
-            } catch (const std::exception&) {
-                // Values that are no numbers are for the dump only.
-                continue;
+            if (const std::optional<double> number = gauge_value(value.json)) {
+                metrics_.set(gauge_name(section.name, value.name), *number);
             }
         }
     }
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -55,6 +55,12 @@
     CHECK(contains(all.text(), "# TYPE level gauge\nlevel{name=\"a\\\"b\\\\c\\nd\"} 2.5\n"));
 }
 
+TEST_CASE("a large value keeps its digits, so that rates of byte counts are right") {
+    metrics all;
+    all.set({"bytes", {}}, 1234567891);
+    CHECK(contains(all.text(), "bytes 1234567891\n"));
+}
+
 TEST_CASE("the number of series stays bounded") {
     metrics all;
     for (std::size_t i = 0; i < metrics::series_limit + 10; ++i) {
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -225,5 +225,13 @@
 kill -USR1 "$(pid_of router-2)"
 check "SIGUSR1 writes the supervisor tree" within 3 signalled
 
+curl -s -m 5 "http://$(address_of router-2 admin)/metrics" > "$work/answer"
+# One line outside the format makes a collector drop the whole page.
+series='^[a-zA-Z_:][a-zA-Z0-9_:]*(\{[a-z_]+="[^"]*"(,[a-z_]+="[^"]*")*\})? [-+0-9.e]+$'
+well_formed() { ! grep -v '^# TYPE ' "$work/answer" | grep -qvE "$series"; }
+check "each line of /metrics has the Prometheus format" well_formed
+check "the queue of a pool is a series" grep -q '^bluebell_schedule_waiting_by_pool{pool="text"}' "$work/answer"
+check "readiness is a series" grep -q '^bluebell_router_ready 1$' "$work/answer"
+
 echo "$failures checks failed"
 [ "$failures" = 0 ]
