Place prompts where the fleet keeps their parts

Change: reports name the shared parts used since the last one, and tokens stored. Age of a part is counted in tokens stored since its last use, against the memory that running requests leave. Reading a shared part again weighs six times its prefill.

--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -193,6 +193,10 @@
     std::uint64_t pending_tokens = 0;
     /// Tokens of running requests in the memory of the engine, the expected answers included.
     std::uint64_t memory_tokens = 0;
+    /// Tokens that the engine read and produced for the sender since the sender started.
+    std::uint64_t stored_tokens = 0;
+    /// Shared parts of prompts that the sender used there since its last report.
+    std::vector<std::uint64_t> parts;
 };
 
 /// Service of one account at the sender, decaying with `fair_share::memory`.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -26,6 +26,8 @@
 constexpr double late_wait = 0.15;
 /// Share of an engine that requests which are late anyway may fill.
 constexpr double late_room = 0.8;
+/// Weight of reading a shared part again: it takes the engine from others, and the platform charges for it.
+constexpr double reread_weight = 6;
 /// Accounts ahead of their fair share by this much have their limits lowered, to `least_standing` at most.
 constexpr double ahead_begin = 0.95;
 constexpr double ahead_end = 1.35;
@@ -305,6 +307,7 @@
     wanted.memory = what.memory;
     wanted.excluded = &what.tried;
     wanted.room = late || standing(what) < 1 ? late_room : 1;
+    wanted.reread_weight = reread_weight;
     const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
     if (!choice || !admit(what, *choice)) {
         return false;
@@ -328,7 +331,7 @@
     what.placed = {1, choice.uncached, what.memory};
     what.sent = now_;
     what.began = false;
-    placement_.sent(choice.upstream, what.placed, what.prompt, now_);
+    placement_.sent(choice.upstream, what.placed, what.prompt);
     if (engine && what.attempt == 1) {
         share_.serve(what.account, what.price, now_);
     }
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/engine.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bluebell::dispatch {
 namespace {
@@ -16,9 +17,6 @@
 constexpr double prior_base_ms = 40;
 constexpr double min_base_ms = 1;
 constexpr double max_base_ms = 200;
-/// How long an engine is trusted to keep a part after its last use. Unique parts push older ones out of
-/// the memory of a busy engine within seconds.
-constexpr base::duration keep_time = std::chrono::seconds(8);
 
 } // namespace
 
@@ -61,31 +59,14 @@
     return base::duration(static_cast<base::duration::rep>(ms * ns_per_ms));
 }
 
-void part_cache::touch(const std::vector<prompt_part>& parts, base::time_point now) {
-    expire(now);
-    for (const prompt_part& part : parts) {
-        used_[part.id] = now;
-        order_.emplace_back(now, part.id);
-    }
-}
-
-bool part_cache::holds(part_id id, base::time_point now) const {
-    const auto found = used_.find(id);
-    return found != used_.end() && now - found->second < keep_time;
-}
-
-void part_cache::clear() {
-    used_.clear();
-    order_.clear();
+bool part_cache::holds(part_id part, token_count room) const {
+    const auto found = used_.find(part);
+    return found != used_.end() && clock_ - found->second < room;
 }
 
-void part_cache::expire(base::time_point now) {
-    while (!order_.empty() && now - order_.front().first >= keep_time) {
-        const auto found = used_.find(order_.front().second);
-        if (found != used_.end() && now - found->second >= keep_time) {
-            used_.erase(found);
-        }
-        order_.pop_front();
+void part_cache::expire(token_count room) {
+    for (auto entry = used_.begin(); entry != used_.end();) {
+        entry = clock_ - entry->second >= room ? used_.erase(entry) : std::next(entry);
     }
 }
 
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -5,8 +5,6 @@
 #include "dispatch/event.h"
 
 #include <cstdint>
-#include <deque>
-#include <list>
 #include <map>
 #include <optional>
 #include <random>
@@ -41,19 +39,24 @@
     double sum_work_time_ = 0;
 };
 
-/// Which parts of prompts an engine probably keeps, by what this router sent it.
+/// Which parts of prompts an engine probably keeps, by what all routers sent it. The engine drops the parts
+/// that were not used for longest when others need the memory, so age is counted in tokens stored since the
+/// last use.
 /// Thread safety: used by one thread.
 class part_cache {
 public:
-    void touch(const std::vector<prompt_part>& parts, base::time_point now);
-    [[nodiscard]] bool holds(part_id id, base::time_point now) const;
-    void clear();
+    /// Tokens that the engine has stored since the last call.
+    void store(token_count added) { clock_ += added; }
+    void touch(part_id part) { used_[part] = clock_; }
+    /// `room` is the memory that running requests leave for kept parts.
+    [[nodiscard]] bool holds(part_id part, token_count room) const;
+    /// Forgets parts that were used before `room` tokens were stored. To be called now and then.
+    void expire(token_count room);
+    void clear() { used_.clear(); }
 
 private:
-    void expire(base::time_point now);
-
-    std::unordered_map<part_id, base::time_point> used_;
-    std::deque<std::pair<base::time_point, part_id>> order_;
+    token_count clock_;
+    std::unordered_map<part_id, token_count> used_;
 };
 
 /// Work that one router has placed on one upstream.
@@ -78,6 +81,10 @@
     /// Sum of what the peers report.
     placed_work peers;
     part_cache cache;
+    /// Tokens stored by this router since its start, for its reports.
+    token_count stored;
+    /// Shared parts that this router used since its last report.
+    std::vector<std::uint64_t> used_parts;
     /// Observed time to the first event over the predicted one, smoothed.
     double slowness = 1;
     /// Share of the attempts that failed, smoothed.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -28,8 +28,14 @@
 /// First pause after a failed connection; doubles up to the longest.
 constexpr base::duration first_pause = std::chrono::milliseconds(250);
 constexpr base::duration longest_pause = std::chrono::seconds(2);
-/// Share of the part of a prompt that an upstream is believed to keep because all routers send it there.
-constexpr double home_share = 0.9;
+/// Part of the penalty for reading a shared part that applies at its home, the upstream that all routers
+/// choose first for it.
+constexpr double home_weight = 0.5;
+/// Share of the memory that running requests leave within which kept parts are trusted to be found again.
+constexpr double part_share = 0.85;
+/// Interval at which parts that no engine can keep any more are forgotten.
+constexpr base::duration expiry_interval = std::chrono::seconds(2);
+constexpr double ns_per_ms = 1e6;
 /// Requests that a plain service may have waiting for each slot.
 constexpr double plain_overcommit = 3;
 /// Share of an engine's memory that requests may fill.
@@ -80,9 +86,20 @@
                         base::time_point now) {
     std::map<base::upstream_id, peer_work>& known = peers_[from];
     for (const decision::upstream_work& each : work) {
-        known[each.upstream] = {{each.running, token_count(static_cast<std::int64_t>(each.pending_tokens)),
-                                 token_count(static_cast<std::int64_t>(each.memory_tokens))},
-                                now};
+        peer_work& last = known[each.upstream];
+        const std::uint64_t stored =
+            each.stored_tokens > last.stored && last.stored > 0 ? each.stored_tokens - last.stored : 0;
+        last = {{each.running, token_count(static_cast<std::int64_t>(each.pending_tokens)),
+                 token_count(static_cast<std::int64_t>(each.memory_tokens))},
+                each.stored_tokens,
+                now};
+        const auto state = states_.find(each.upstream);
+        if (state != states_.end()) {
+            state->second.cache.store(token_count(static_cast<std::int64_t>(stored)));
+            for (const std::uint64_t part : each.parts) {
+                state->second.cache.touch(part_id(part));
+            }
+        }
     }
 }
 
@@ -94,17 +111,27 @@
     for (auto& [id, state] : states_) {
         state.peers = {};
     }
-    for (auto& [vm, reports] : peers_) {
-        for (auto report = reports.begin(); report != reports.end();) {
-            if (now - report->second.at > report_life) {
-                report = reports.erase(report);
-                continue;
-            }
-            const auto state = states_.find(report->first);
-            if (state != states_.end()) {
-                state->second.peers += report->second.work;
+    for (const auto& [vm, reports] : peers_) {
+        for (const auto& [id, report] : reports) {
+            const auto state = states_.find(id);
+            if (state != states_.end() && now - report.at <= report_life) {
+                state->second.peers += report.work;
             }
-            ++report;
+        }
+    }
+    if (now >= next_expiry_) {
+        next_expiry_ = now + expiry_interval;
+        expire_parts();
+    }
+}
+
+void placement::expire_parts() {
+    for (auto& [id, state] : states_) {
+        const auto entry = entries_.find(id);
+        const pool* const kind =
+            entry == entries_.end() || !catalogue_ ? nullptr : catalogue_->find(entry->second.pool);
+        if (kind != nullptr && kind->engine) {
+            state.cache.expire(kind->engine->memory);
         }
     }
 }
@@ -112,12 +139,14 @@
 std::vector<decision::upstream_work> placement::own_work() {
     std::vector<decision::upstream_work> told;
     std::set<base::upstream_id> named;
-    for (const auto& [id, state] : states_) {
-        if (state.own.running == 0 && reported_.count(id) == 0) {
+    for (auto& [id, state] : states_) {
+        if (state.own.running == 0 && state.used_parts.empty() && reported_.count(id) == 0) {
             continue;
         }
         told.push_back({id, state.own.running, static_cast<std::uint64_t>(state.own.pending.value()),
-                        static_cast<std::uint64_t>(state.own.memory.value())});
+                        static_cast<std::uint64_t>(state.own.memory.value()),
+                        static_cast<std::uint64_t>(state.stored.value()),
+                        std::exchange(state.used_parts, {})});
         if (state.own.running > 0) {
             named.insert(id);
         }
@@ -150,19 +179,46 @@
     return best;
 }
 
-token_count placement::uncached(const placement_request& what, const base::upstream_id& /*upstream*/,
-                                const upstream_state& state, base::time_point now) const {
-    if (what.prompt == nullptr) {
-        return {};
-    }
-    token_count kept;
+token_count placement::room_for_parts(const upstream_state& state, const pool& kind) const {
+    const double memory = static_cast<double>(kind.engine->memory.value());
+    const double running = static_cast<double>(state.total().memory.value());
+    return token_count(static_cast<std::int64_t>(std::max(0.0, memory - running) * part_share));
+}
+
+/// Tokens at the start of the prompt that the upstream does not have to read.
+token_count placement::kept(const placement_request& what, const upstream_state& state,
+                            const pool& kind) const {
+    const token_count room = room_for_parts(state, kind);
+    token_count sum;
     for (const prompt_part& part : what.prompt->parts) {
-        if (!state.cache.holds(part.id, now)) {
+        if (!state.cache.holds(part.id, room)) {
             break;
         }
-        kept += part.tokens;
+        sum += part.tokens;
     }
-    return std::max(what.prompt->prompt - kept, token_count(1));
+    return sum;
+}
+
+/// Fills in what the choice of an engine means and returns its cost.
+base::duration placement::price(const placement_request& what, const upstream_entry& entry, bool home,
+                                placement_choice& choice) {
+    const upstream_state& state = states_[entry.id];
+    const prefill_model& model = models_[what.pool];
+    const pool& kind = *catalogue_->find(what.pool);
+    const token_count own = what.prompt->parts.empty() ? token_count() : what.prompt->parts.back().tokens;
+    const token_count shared = std::max(what.prompt->prompt - own, token_count());
+    const token_count kept_here = kept(what, state, kind);
+    choice.uncached = std::max(what.prompt->prompt - kept_here, token_count(1));
+    choice.ahead = state.total().pending;
+    choice.first_event = std::chrono::duration_cast<base::duration>(
+        model.predict(choice.ahead + choice.uncached) * state.slowness);
+    choice.wait = choice.first_event - std::chrono::duration_cast<base::duration>(
+                                           model.predict(choice.uncached) * state.slowness);
+    const double reread = static_cast<double>(std::max(shared - kept_here, token_count()).value());
+    const double weight = (what.reread_weight - 1) * (home ? home_weight : 1);
+    const base::duration penalty(
+        static_cast<base::duration::rep>(reread / model.tokens_per_ms() * weight * ns_per_ms));
+    return choice.first_event + penalty;
 }
 
 bool placement::has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
@@ -187,7 +243,6 @@
     }
     const pool* const kind = catalogue_->find(what.pool);
     const bool engine = kind != nullptr && kind->engine;
-    const prefill_model& model = models_[what.pool];
     const std::optional<base::upstream_id> kept_at = engine ? home(what) : std::nullopt;
     std::uniform_int_distribution<base::duration::rep> jitter(0, spread.count());
     std::optional<placement_choice> best;
@@ -201,30 +256,19 @@
         }
         placement_choice choice;
         choice.upstream = id;
+        base::duration cost{};
         if (engine) {
-            choice.uncached = uncached(what, id, state, now);
-            if (kept_at == id && what.prompt != nullptr) {
-                const token_count own = what.prompt->parts.back().tokens;
-                const token_count shared = std::max(what.prompt->prompt - own, token_count());
-                const token_count expected(
-                    static_cast<std::int64_t>(static_cast<double>(shared.value()) * (1 - home_share)));
-                choice.uncached = std::min(choice.uncached, own + expected);
-            }
-            choice.ahead = state.total().pending;
-            const double slow = state.slowness;
-            choice.first_event = std::chrono::duration_cast<base::duration>(
-                model.predict(choice.ahead + choice.uncached) * slow);
-            choice.wait = choice.first_event -
-                          std::chrono::duration_cast<base::duration>(model.predict(choice.uncached) * slow);
+            cost = price(what, entry, kept_at == id, choice);
         } else {
             const double load = static_cast<double>(state.total().running) /
                                 std::max(1.0, static_cast<double>(entry.slots.value()));
             choice.first_event = std::chrono::duration_cast<base::duration>(
                 std::chrono::milliseconds(50) * (load * state.slowness));
             choice.wait = choice.first_event;
+            cost = choice.first_event;
         }
-        const base::duration cost =
-            choice.first_event + std::chrono::duration_cast<base::duration>(failure_penalty * state.failures) +
+        cost +=
+            std::chrono::duration_cast<base::duration>(failure_penalty * state.failures) +
             (entry.data_centre == here_ ? base::duration::zero() : remote_penalty) +
             base::duration(jitter(random_));
         if (!best || cost < best_cost) {
@@ -235,11 +279,20 @@
     return best;
 }
 
-void placement::sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt,
-                     base::time_point now) {
+void placement::sent(const base::upstream_id& upstream, const placed_work& work,
+                     const prompt_facts& prompt) {
     upstream_state& state = states_[upstream];
     state.own += work;
-    state.cache.touch(prompt.parts, now);
+    // What the answer adds counts from the start, since the memory is claimed as it grows.
+    const token_count added = work.memory - prompt.prompt + work.pending;
+    state.stored += added;
+    state.cache.store(added);
+    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
+        state.cache.touch(prompt.parts[i].id);
+        if (i + 1 < prompt.parts.size()) {
+            state.used_parts.push_back(prompt.parts[i].id.value());
+        }
+    }
 }
 
 void placement::began(const base::upstream_id& upstream, const base::pool_id& pool, token_count pending,
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -26,6 +26,8 @@
     token_count memory;
     /// Upstreams that may not be used any more.
     const std::set<base::upstream_id>* excluded = nullptr;
+    /// Weight of reading a shared part again that another upstream keeps, over the time that it takes.
+    double reread_weight = 1;
     /// Share of the slots and of the memory that the request may take up; less than one leaves room for
     /// others.
     double room = 1;
@@ -62,8 +64,7 @@
     /// The upstream with the earliest predicted first event; empty if none has room.
     [[nodiscard]] std::optional<placement_choice> choose(const placement_request& what, base::time_point now);
 
-    void sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt,
-              base::time_point now);
+    void sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt);
     /// The first event has arrived after `elapsed`.
     void began(const base::upstream_id& upstream, const base::pool_id& pool, token_count pending,
                token_count ahead, base::duration elapsed);
@@ -84,14 +85,19 @@
 private:
     struct peer_work {
         placed_work work;
+        std::uint64_t stored = 0;
         base::time_point at;
     };
     struct member_upstream {
         upstream_entry entry;
         bool ready = false;
     };
-    [[nodiscard]] token_count uncached(const placement_request& what, const base::upstream_id& upstream,
-                                       const upstream_state& state, base::time_point now) const;
+    [[nodiscard]] token_count kept(const placement_request& what, const upstream_state& state,
+                                   const pool& kind) const;
+    [[nodiscard]] token_count room_for_parts(const upstream_state& state, const pool& kind) const;
+    base::duration price(const placement_request& what, const upstream_entry& entry, bool home,
+                         placement_choice& choice);
+    void expire_parts();
     [[nodiscard]] std::optional<base::upstream_id> home(const placement_request& what) const;
     [[nodiscard]] bool has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
                                 const placement_request& what) const;
@@ -106,6 +112,7 @@
     std::map<base::pool_id, prefill_model> models_;
     /// Upstreams that the last report named, so that their end is reported too.
     std::set<base::upstream_id> reported_;
+    base::time_point next_expiry_;
 };
 
 } // namespace bluebell::dispatch
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -612,12 +612,16 @@
     put(out, std::uint64_t{work.running});
     put(out, work.pending_tokens);
     put(out, work.memory_tokens);
+    put(out, work.stored_tokens);
+    put_list(out, work.parts, [&out](std::uint64_t part) { put(out, part); });
 }
 
 void take_rest(input& in, decision::upstream_work& work) {
     work.running = take_bounded<std::uint32_t>(in);
     take(in, work.pending_tokens);
     take(in, work.memory_tokens);
+    take(in, work.stored_tokens);
+    take_list(in, work.parts, max_list, [&in](std::uint64_t& part) { take(in, part); });
 }
 
 void put(output& out, const decision::work_report& body) {
