Wait for the engine that keeps a shared part

Late work filled a sixth of the engines. The time to the first event was fitted by least squares, which the few requests behind the longest prompts pulled to its upper bound.

Change: a full engine counts as a wait of 120 ms in the choice, and a request whose best engine is full stays queued; reading a part again weighs 8 times its prefill, 1.5 times once 0.3 of the objective has passed. Work that is late anyway gets half of an engine. The estimate follows the median. A long prompt is reported to the other routers within 25 ms.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -25,11 +25,17 @@
 /// Wait at the engine, as a part of the objective, that a request may cause which is late anyway.
 constexpr double late_wait = 0.15;
 /// Share of an engine that requests which are late anyway may fill.
-constexpr double late_room = 0.75;
+constexpr double late_room = 0.5;
 /// Share of an engine that requests of accounts may fill which are far ahead of their fair share.
 constexpr double least_room = 0.5;
 /// Weight of reading a shared part again: it takes the engine from others, and the platform charges for it.
-constexpr double reread_weight = 6;
+constexpr double reread_weight = 8;
+/// The same after `patient_share` of the objective, when the alternative is to refuse the request.
+constexpr double last_reread_weight = 1.5;
+constexpr double patient_share = 0.3;
+/// Prompt tokens placed since the last report that are worth one ahead of time, and the shortest interval.
+constexpr token_count urgent_tokens(8000);
+constexpr base::duration urgent_interval = std::chrono::milliseconds(25);
 /// Accounts ahead of their fair share by this much have their limits lowered, to `least_standing` at most.
 constexpr double ahead_begin = 0.95;
 constexpr double ahead_end = 1.35;
@@ -132,7 +138,9 @@
             end(found->second, 504, error_code::deadline_exceeded);
         }
     }
-    if (now >= next_report_) {
+    if (now >= next_report_ ||
+        (placement_.unreported() > urgent_tokens && now >= last_report_ + urgent_interval)) {
+        last_report_ = now;
         share_.update(now);
         placement_.update(now);
         budget_.set_minimum(settings_.retry_slack * budget_use / static_cast<double>(fleet_size()) /
@@ -309,7 +317,8 @@
     wanted.excluded = &what.tried;
     const double position = standing(what);
     wanted.room = std::min(late ? late_room : 1.0, least_room + (1 - least_room) * position);
-    wanted.reread_weight = reread_weight;
+    const bool patient = now_ - what.arrived < scaled(what.via->objective, patient_share);
+    wanted.reread_weight = patient ? reread_weight : last_reread_weight;
     const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
     if (!choice || !admit(what, *choice)) {
         return false;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -158,6 +158,7 @@
     std::set<base::vm_id> known_routers_;
     std::optional<base::time_point> drain_began_;
     base::time_point next_report_;
+    base::time_point last_report_;
     base::time_point next_pass_;
     bool queue_changed_ = false;
     std::uint64_t sequence_ = 0;
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -7,51 +7,38 @@
 namespace {
 
 constexpr double ns_per_ms = 1e6;
-/// Weight of earlier observations after each new one; remembers about two hundred.
-constexpr double forgetting = 0.995;
-/// Observations that the prior is worth.
-constexpr double prior_weight = 20;
-/// The fitted rate stays within this factor of the prior.
-constexpr double slope_range = 4;
+/// Steps of the estimate for one observation: of the constant in ms, and of the slope as a part of itself.
+constexpr double base_step_ms = 0.5;
+constexpr double slope_step = 0.004;
+constexpr double typical_gain = 0.01;
+/// The slope stays within this factor of the prior.
+constexpr double slope_range = 3;
 /// Constant part of the time to the first token before anything was observed, in ms.
-constexpr double prior_base_ms = 40;
+constexpr double prior_base_ms = 45;
 constexpr double min_base_ms = 1;
-constexpr double max_base_ms = 200;
+constexpr double max_base_ms = 250;
 
 } // namespace
 
 void prefill_model::set_prior(double tokens_per_ms) {
     prior_slope_ = 1.0 / tokens_per_ms;
-    if (count_ == 0) {
+    if (!observed_) {
         slope_ = prior_slope_;
         base_ = prior_base_ms;
     }
 }
 
+/// One step of stochastic descent on the absolute error, which leads to the median.
 void prefill_model::observe(token_count work, base::duration elapsed) {
+    observed_ = true;
     const double w = static_cast<double>(work.value());
     const double t = static_cast<double>(elapsed.count()) / ns_per_ms;
-    count_ = count_ * forgetting + 1;
-    sum_work_ = sum_work_ * forgetting + w;
-    sum_time_ = sum_time_ * forgetting + t;
-    sum_work2_ = sum_work2_ * forgetting + w * w;
-    sum_work_time_ = sum_work_time_ * forgetting + w * t;
-    fit();
-}
-
-/// Least squares with the prior as pseudo-observations at zero and at twice the mean work.
-void prefill_model::fit() {
-    const double typical = std::max(2 * sum_work_ / count_, 1.0);
-    const double half = prior_weight / 2;
-    const double n = count_ + prior_weight;
-    const double w = sum_work_ + half * typical;
-    const double t = sum_time_ + half * prior_base_ms + half * (prior_base_ms + prior_slope_ * typical);
-    const double w2 = sum_work2_ + half * typical * typical;
-    const double wt = sum_work_time_ + half * typical * (prior_base_ms + prior_slope_ * typical);
-    const double spread = n * w2 - w * w;
-    const double slope = spread > 0 ? (n * wt - w * t) / spread : prior_slope_;
-    slope_ = std::clamp(slope, prior_slope_ / slope_range, prior_slope_ * slope_range);
-    base_ = std::clamp((t - slope_ * w) / n, min_base_ms, max_base_ms);
+    const double direction = t > base_ + slope_ * w ? 1 : -1;
+    typical_ += typical_gain * (w - typical_);
+    base_ = std::clamp(base_ + direction * base_step_ms, min_base_ms, max_base_ms);
+    const double leverage = std::min(w / std::max(typical_, 1.0), 3.0);
+    slope_ = std::clamp(slope_ * (1 + direction * slope_step * leverage), prior_slope_ / slope_range,
+                        prior_slope_ * slope_range);
 }
 
 base::duration prefill_model::predict(token_count work) const {
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -14,11 +14,12 @@
 namespace bluebell::dispatch {
 
 /// Running estimate of how long the engines of one pool take until the first token: a constant plus a time
-/// for each token that has to be read before. Fitted on observed first events with exponential forgetting.
+/// for each token that has to be read before. Follows the median of the observations, since a few requests
+/// wait many times as long behind the longest prompts.
 /// Thread safety: used by one thread.
 class prefill_model {
 public:
-    /// Pre-condition: `tokens_per_ms` is greater than zero. The prior counts as `prior_weight` observations.
+    /// Where the estimate starts and stays near. Pre-condition: `tokens_per_ms` is greater than zero.
     void set_prior(double tokens_per_ms);
     /// `work` tokens were waiting or part of the request when it was sent; it took `elapsed`.
     void observe(token_count work, base::duration elapsed);
@@ -27,16 +28,12 @@
     [[nodiscard]] double base_ms() const { return base_; }
 
 private:
-    void fit();
-
     double prior_slope_ = 1.0 / 40;
     double slope_ = 1.0 / 40;
     double base_ = 40;
-    double count_ = 0;
-    double sum_work_ = 0;
-    double sum_time_ = 0;
-    double sum_work2_ = 0;
-    double sum_work_time_ = 0;
+    /// Smoothed work of an observation, the scale of the steps of the slope.
+    double typical_ = 4000;
+    bool observed_ = false;
 };
 
 /// Which parts of prompts an engine probably keeps, by what all routers sent it. The engine drops the parts
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -33,6 +33,8 @@
 constexpr double home_weight = 0.5;
 /// Share of the memory that running requests leave within which kept parts are trusted to be found again.
 constexpr double part_share = 0.85;
+/// Cost of an engine without a free slot: about the time until one of its streams ends.
+constexpr base::duration full_penalty = std::chrono::milliseconds(120);
 /// Interval at which parts that no engine can keep any more are forgotten.
 constexpr base::duration expiry_interval = std::chrono::seconds(2);
 constexpr double ns_per_ms = 1e6;
@@ -143,6 +145,7 @@
 std::vector<decision::upstream_work> placement::own_work() {
     std::vector<decision::upstream_work> told;
     std::set<base::upstream_id> named;
+    unreported_ = {};
     for (auto& [id, state] : states_) {
         if (state.own.running == 0 && state.used_parts.empty() && reported_.count(id) == 0) {
             continue;
@@ -255,8 +258,11 @@
     for (const base::upstream_id& id : found->second) {
         const upstream_entry& entry = entries_.at(id);
         const upstream_state& state = states_[id];
-        if ((what.excluded != nullptr && what.excluded->count(id) != 0) || now < state.down_until ||
-            !has_room(entry, state, kind, what)) {
+        if ((what.excluded != nullptr && what.excluded->count(id) != 0) || now < state.down_until) {
+            continue;
+        }
+        const bool room = has_room(entry, state, kind, what);
+        if (!room && !engine) {
             continue;
         }
         placement_choice choice;
@@ -275,17 +281,23 @@
         cost += std::chrono::duration_cast<base::duration>(failure_penalty * state.failures) +
                 (entry.data_centre == here_ ? base::duration::zero() : remote_penalty) +
                 base::duration(jitter(random_));
+        choice.full = !room;
+        if (choice.full) {
+            cost += full_penalty;
+        }
         if (!best || cost < best_cost) {
             best = choice;
             best_cost = cost;
         }
     }
-    return best;
+    // It is better to wait for the best one than to have a shared part read again elsewhere.
+    return best && best->full ? std::nullopt : best;
 }
 
 void placement::sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt) {
     upstream_state& state = states_[upstream];
     state.own += work;
+    unreported_ += work.pending;
     // What the answer adds counts from the start, since the memory is claimed as it grows.
     const token_count added = work.memory - prompt.prompt + work.pending;
     state.stored += added;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -43,6 +43,7 @@
     base::duration first_event{};
     /// The part of it that other requests cause.
     base::duration wait{};
+    bool full = false;
 };
 
 /// Upstreams with the work that the fleet has placed on them, and the choice among them.
@@ -60,6 +61,8 @@
     /// Brings the sums of the peers' work up to date.
     void update(base::time_point now);
     [[nodiscard]] std::vector<decision::upstream_work> own_work();
+    /// Prompt tokens placed since the last `own_work`.
+    [[nodiscard]] token_count unreported() const { return unreported_; }
 
     /// The upstream with the earliest predicted first event; empty if none has room.
     [[nodiscard]] std::optional<placement_choice> choose(const placement_request& what, base::time_point now);
@@ -113,6 +116,7 @@
     /// Upstreams that the last report named, so that their end is reported too.
     std::set<base::upstream_id> reported_;
     base::time_point next_expiry_;
+    token_count unreported_;
 };
 
 } // namespace bluebell::dispatch
