Do not take differing patience for an earlier attempt

Refused callers were back after 0.7 s, into the same overload.

Change: only callers with over 16% less time than usual count as back after an earlier attempt. Retry-After is a fifth of the time left, plus up to a quarter of that.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -44,8 +44,8 @@
 constexpr base::duration delivery_time = std::chrono::milliseconds(8);
 /// A retry is not started with less time than this left.
 constexpr base::duration least_time_left = std::chrono::milliseconds(20);
-/// Difference in the patience of a caller that counts as an earlier attempt.
-constexpr base::duration patience_tolerance = std::chrono::milliseconds(20);
+/// Callers' patience at their first attempts differs by up to this part of the usual one.
+constexpr double patience_spread = 0.16;
 /// Distinct patience values that are counted for a route.
 constexpr std::size_t patience_limit = 64;
 /// How long a broken connection is kept as a sign of a crash that may be confirmed.
@@ -64,8 +64,10 @@
 constexpr double output_weight = 2;
 /// Service of a request to a plain service, in the same unit.
 constexpr double plain_price = 1;
-/// Refused callers are told to come back after this time, plus a random part of it.
-constexpr base::duration come_back_base = std::chrono::milliseconds(700);
+/// Refused callers are told to come back after this part of the time they have, plus a random part of that.
+/// Overload lasts for seconds, and a caller that is back at once finds the same queue.
+constexpr double come_back_share = 0.2;
+constexpr double come_back_spread = 0.25;
 constexpr std::size_t distinct_crashes = 3;
 
 double ms(base::duration value) {
@@ -267,7 +269,8 @@
     const auto usual = std::max_element(seen.begin(), seen.end(),
                                         [](const auto& a, const auto& b) { return a.second < b.second; });
     const base::duration less = base::duration(usual->first) - *patience;
-    return usual->second > 1 && less > patience_tolerance ? less : base::duration::zero();
+    const bool tried_before = usual->second > 1 && less > scaled(base::duration(usual->first), patience_spread);
+    return tried_before ? less : base::duration::zero();
 }
 
 const base::pool_id& dispatcher::pick_pool(const route& via) {
@@ -411,8 +414,9 @@
     end(what, 503, cause, come_back(what));
 }
 
-base::duration dispatcher::come_back(const session& /*what*/) const {
-    return come_back_base;
+base::duration dispatcher::come_back(const session& what) {
+    const double part = std::uniform_real_distribution<double>(0, come_back_spread)(random_);
+    return scaled(what.deadline - what.arrived, come_back_share * (1 + part));
 }
 
 void dispatcher::on(const caller_left& what) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -125,7 +125,7 @@
     void serve_queues();
     void give_up(session& what, base::error_code cause);
     [[nodiscard]] base::duration hold_time(const session& what) const;
-    [[nodiscard]] base::duration come_back(const session& what) const;
+    [[nodiscard]] base::duration come_back(const session& what);
     bool try_again(session& what, const attempt_over& how);
     void end(session& what, int status, base::error_code cause,
              std::optional<base::duration> retry_after = std::nullopt);
