Count delays within half of the time left little

Change: a delay within half of the time left until the objective weighs 0.25 in the choice, one beyond it 1.5.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr double late_room = 0.5;
 /// Share of an engine that requests of accounts may fill which are far ahead of their fair share.
 constexpr double least_room = 0.5;
+/// Part of the time left until the objective within which a first event is early enough.
+constexpr double comfort_share = 0.5;
 /// Weight of reading a shared part again: it takes the engine from others, and the platform charges for it.
 constexpr double reread_weight = 8;
 /// The same after `patient_share` of the objective, when the alternative is to refuse the request.
@@ -320,6 +322,9 @@
     wanted.excluded = &what.tried;
     const double position = standing(what);
     wanted.room = std::min(late ? late_room : 1.0, least_room + (1 - least_room) * position);
+    const base::duration elapsed = what.spent + (now_ - what.arrived);
+    wanted.comfortable =
+        std::max(scaled(what.via->objective - elapsed, comfort_share), base::duration::zero());
     const bool patient = now_ - what.arrived < scaled(what.via->objective, patient_share);
     wanted.reread_weight = patient ? reread_weight : last_reread_weight;
     const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -33,6 +33,9 @@
 constexpr double home_weight = 0.5;
 /// Share of the memory that running requests leave within which kept parts are trusted to be found again.
 constexpr double part_share = 0.85;
+/// Weight of a delay up to and beyond the comfortable time to the first event.
+constexpr double early_weight = 0.25;
+constexpr double tardy_weight = 1.5;
 /// Cost of an engine without a free slot: about the time until one of its streams ends.
 constexpr base::duration full_penalty = std::chrono::milliseconds(120);
 /// Interval at which parts that no engine can keep any more are forgotten.
@@ -186,6 +189,12 @@
     return best;
 }
 
+/// Cost of a delay: little while the first event is early enough, more than its length beyond.
+base::duration placement::felt(base::duration delay, base::duration comfortable) {
+    const base::duration free = std::min(delay, comfortable);
+    return std::chrono::duration_cast<base::duration>(free * early_weight + (delay - free) * tardy_weight);
+}
+
 token_count placement::room_for_parts(const upstream_state& state, const pool& kind) const {
     const double memory = static_cast<double>(kind.engine->memory.value());
     const double running = static_cast<double>(state.total().memory.value());
@@ -225,7 +234,7 @@
     const double weight = (what.reread_weight - 1) * (home ? home_weight : 1);
     const base::duration penalty(
         static_cast<base::duration::rep>(reread / model.tokens_per_ms() * weight * ns_per_ms));
-    return choice.first_event + penalty;
+    return felt(choice.first_event, what.comfortable) + penalty;
 }
 
 bool placement::has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -26,6 +26,8 @@
     token_count memory;
     /// Upstreams that may not be used any more.
     const std::set<base::upstream_id>* excluded = nullptr;
+    /// A first event within this time is early enough; less is worth little.
+    base::duration comfortable{};
     /// Weight of reading a shared part again that another upstream keeps, over the time that it takes.
     double reread_weight = 1;
     /// Share of the slots and of the memory that the request may take up; less than one leaves room for
@@ -100,6 +102,7 @@
     [[nodiscard]] token_count room_for_parts(const upstream_state& state, const pool& kind) const;
     base::duration price(const placement_request& what, const upstream_entry& entry, bool home,
                          placement_choice& choice);
+    [[nodiscard]] static base::duration felt(base::duration delay, base::duration comfortable);
     void expire_parts();
     [[nodiscard]] std::optional<base::upstream_id> home(const placement_request& what) const;
     [[nodiscard]] bool has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
