Let requests whose shared parts are kept go first

Change: until 0.3 of the objective has passed, a request that would have more than 15% of its prompt read again gets 0.6 of an engine only.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,6 +35,8 @@
 /// The same after `patient_share` of the objective, when the alternative is to refuse the request.
 constexpr double last_reread_weight = 1.5;
 constexpr double patient_share = 0.3;
+/// Share of an engine that requests may fill which have shared parts read again there, while they are patient.
+constexpr double cold_room = 0.6;
 /// Prompt tokens placed since the last report that are worth one ahead of time, and the shortest interval.
 constexpr token_count urgent_tokens(8000);
 constexpr base::duration urgent_interval = std::chrono::milliseconds(25);
@@ -327,6 +329,7 @@
         std::max(scaled(what.via->objective - elapsed, comfort_share), base::duration::zero());
     const bool patient = now_ - what.arrived < scaled(what.via->objective, patient_share);
     wanted.reread_weight = patient ? reread_weight : last_reread_weight;
+    wanted.cold_room = patient ? cold_room : 1;
     const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
     if (!choice || !admit(what, *choice)) {
         return false;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -33,6 +33,8 @@
 constexpr double home_weight = 0.5;
 /// Share of the memory that running requests leave within which kept parts are trusted to be found again.
 constexpr double part_share = 0.85;
+/// Part of a prompt that has to be read again from which on the placement counts as cold.
+constexpr double cold_share = 0.15;
 /// Weight of a delay up to and beyond the comfortable time to the first event.
 constexpr double early_weight = 0.25;
 constexpr double tardy_weight = 1.5;
@@ -231,6 +233,7 @@
     choice.wait = choice.first_event -
                   std::chrono::duration_cast<base::duration>(model.predict(choice.uncached) * state.slowness);
     const double reread = static_cast<double>(std::max(shared - kept_here, token_count()).value());
+    choice.cold = reread > cold_share * static_cast<double>(what.prompt->prompt.value());
     const double weight = (what.reread_weight - 1) * (home ? home_weight : 1);
     const base::duration penalty(
         static_cast<base::duration::rep>(reread / model.tokens_per_ms() * weight * ns_per_ms));
@@ -238,19 +241,19 @@
 }
 
 bool placement::has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
-                         const placement_request& what) const {
+                         token_count memory, double room) const {
     const placed_work total = state.total();
     const double slots = static_cast<double>(entry.slots.value());
     if (kind == nullptr || !kind->engine) {
         return static_cast<double>(total.running) < slots * plain_overcommit;
     }
     const double margin = std::min(slot_margin, slots * slot_margin_share);
-    if (total.running > 0 && static_cast<double>(total.running) >= (slots - margin) * what.room) {
+    if (total.running > 0 && static_cast<double>(total.running) >= (slots - margin) * room) {
         return false;
     }
-    const double memory = static_cast<double>(kind->engine->memory.value()) * memory_share * what.room;
-    return memory <= 0 || total.running == 0 ||
-           static_cast<double>((total.memory + what.memory).value()) <= memory;
+    const double limit = static_cast<double>(kind->engine->memory.value()) * memory_share * room;
+    return limit <= 0 || total.running == 0 ||
+           static_cast<double>((total.memory + memory).value()) <= limit;
 }
 
 std::optional<placement_choice> placement::choose(const placement_request& what, base::time_point now) {
@@ -270,8 +273,7 @@
         if ((what.excluded != nullptr && what.excluded->count(id) != 0) || now < state.down_until) {
             continue;
         }
-        const bool room = has_room(entry, state, kind, what);
-        if (!room && !engine) {
+        if (!engine && !has_room(entry, state, kind, what.memory, what.room)) {
             continue;
         }
         placement_choice choice;
@@ -279,6 +281,8 @@
         base::duration cost{};
         if (engine) {
             cost = price(what, entry, kept_at == id, choice);
+            choice.full = !has_room(entry, state, kind, what.memory,
+                                    choice.cold ? std::min(what.room, what.cold_room) : what.room);
         } else {
             const double load = static_cast<double>(state.total().running) /
                                 std::max(1.0, static_cast<double>(entry.slots.value()));
@@ -290,7 +294,6 @@
         cost += std::chrono::duration_cast<base::duration>(failure_penalty * state.failures) +
                 (entry.data_centre == here_ ? base::duration::zero() : remote_penalty) +
                 base::duration(jitter(random_));
-        choice.full = !room;
         if (choice.full) {
             cost += full_penalty;
         }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -33,6 +33,8 @@
     /// Share of the slots and of the memory that the request may take up; less than one leaves room for
     /// others.
     double room = 1;
+    /// The same for an engine that would have to read shared parts again.
+    double cold_room = 1;
 };
 
 struct placement_choice {
@@ -45,6 +47,8 @@
     base::duration first_event{};
     /// The part of it that other requests cause.
     base::duration wait{};
+    /// A considerable part of the prompt is shared and not kept there.
+    bool cold = false;
     bool full = false;
 };
 
@@ -106,7 +110,7 @@
     void expire_parts();
     [[nodiscard]] std::optional<base::upstream_id> home(const placement_request& what) const;
     [[nodiscard]] bool has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
-                                const placement_request& what) const;
+                                token_count memory, double room) const;
 
     const base::data_centre_id here_;
     std::mt19937_64 random_;
