--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -118,7 +118,9 @@
     : settings_(settings), now_(now), members_(settings.member, now),
       placement_(settings.data_centre, settings.seed), budget_({settings.retry_ratio * budget_use, 0}),
       crashes_({distinct_crashes, std::chrono::minutes(10), 4096}), next_report_(now), next_pass_(now),
-      random_(settings.seed) {}
+      random_(settings.seed) {
+    update_budget();
+}
 
 void dispatcher::handle(const event& what, base::time_point now) {
     now_ = now;
@@ -149,8 +151,7 @@
         last_report_ = now;
         share_.update(now);
         placement_.update(now);
-        budget_.set_minimum(settings_.retry_slack * budget_use / static_cast<double>(fleet_size()) /
-                            static_cast<double>(decision::retry_budget::window.count()));
+        update_budget();
         send_report();
         next_report_ = now + settings_.report_interval;
     }
@@ -698,6 +699,12 @@
     return made;
 }
 
+/// This router's part of the retries that the fleet may always make.
+void dispatcher::update_budget() {
+    budget_.set_minimum(settings_.retry_slack * budget_use / static_cast<double>(fleet_size()) /
+                        static_cast<double>(decision::retry_budget::window.count()));
+}
+
 std::size_t dispatcher::fleet_size() const {
     return members_.knows_peers() ? members_.members().size() : assumed_fleet;
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -137,6 +137,7 @@
     void send_report();
     void send_messages();
     [[nodiscard]] decision::message_header header();
+    void update_budget();
     [[nodiscard]] std::size_t fleet_size() const;
 
     const dispatcher_settings settings_;
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -37,6 +37,13 @@
                        [&](std::string_view each) { return equal_ignoring_case(each, name); });
 }
 
+bool is_token(std::string_view name) {
+    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0 || marks.find(c) != std::string_view::npos;
+    });
+}
+
 std::string_view reason(int status) {
     switch (status) {
 #define BLUEBELL_REASON(number, name, text)                                                                  \
@@ -190,6 +197,10 @@
 }
 
 int request_parser::on_head() {
+    // The library takes spaces and control characters in names, which an upstream may read differently.
+    if (!std::all_of(fields_.begin(), fields_.end(), [](const field& each) { return is_token(each.name); })) {
+        return -1;
+    }
     const bool sized = (parser_.flags & F_CONTENTLENGTH) != 0;
     body_too_large_ = sized && parser_.content_length > limits_.body_bytes;
     return body_too_large_ ? -1 : 0;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -46,6 +46,8 @@
 bool equal_ignoring_case(std::string_view a, std::string_view b);
 /// Whether a field concerns one connection only and is not passed on.
 bool hop_by_hop(std::string_view name);
+/// Whether a field may have this name.
+bool is_token(std::string_view name);
 /// The usual reason phrase, or "Unknown".
 std::string_view reason(int status);
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -422,11 +422,8 @@
 }
 
 void relay::push(dispatch::event what) {
-    if (backlog_.empty() && events_.try_push(std::move(what)) == base::push_result::pushed) {
-        return;
-    }
-    // The event is untouched unless it was pushed.
     backlog_.push_back(std::move(what));
+    flush_events();
 }
 
 void relay::flush_events() {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -121,7 +121,7 @@
     std::unordered_map<dispatch::session_id, std::unique_ptr<exchange>> exchanges_;
     std::unordered_map<const caller*, dispatch::session_id> by_caller_;
     std::map<base::upstream_id, std::vector<std::unique_ptr<link>>> links_;
-    /// Events that found the ring full.
+    /// Events on their way to the ring; stays empty unless the ring is full.
     std::deque<dispatch::event> backlog_;
     std::uint64_t last_id_ = 0;
     std::size_t body_bytes_ = 0;
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,101 @@
+#include "http/parser.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace bluebell;
+using http::message_limits;
+using http::request_parser;
+using http::response_parser;
+
+constexpr message_limits small{256, 64};
+
+base::error_code refusal(std::string_view bytes) {
+    request_parser parser(small);
+    const base::result<std::size_t> used = parser.feed(bytes);
+    return used ? base::error_code::internal_failure : used.error().code;
+}
+
+} // namespace
+
+TEST_CASE("a request is read from parts of any size and ends where the next one begins") {
+    const std::string first = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    const std::string second = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (std::size_t cut = 1; cut < first.size(); ++cut) {
+        request_parser parser(small);
+        REQUIRE(parser.feed(std::string_view(first).substr(0, cut)) == cut);
+        REQUIRE_FALSE(parser.complete());
+        REQUIRE(parser.feed(first.substr(cut) + second) == first.size() - cut);
+        REQUIRE(parser.complete());
+        REQUIRE(parser.take_body() == "abcde");
+        const http::request_head head = parser.take_head();
+        REQUIRE(head.target == "/a/b?c=d");
+        REQUIRE(head.keep_alive);
+        parser.next(small);
+        REQUIRE(parser.feed(second) == second.size());
+        REQUIRE(parser.complete());
+    }
+}
+
+TEST_CASE("a request with two lengths or with length and chunks is refused, so that none hides inside it") {
+    CHECK(refusal("POST / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde") ==
+          base::error_code::malformed_request);
+    CHECK(refusal("POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+          base::error_code::malformed_request);
+    CHECK(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n") ==
+          base::error_code::malformed_request);
+    CHECK(refusal("POST / HTTP/1.1\r\nContent-Length : 4\r\n\r\nabcd") ==
+          base::error_code::malformed_request);
+    CHECK(refusal("GET / HTTP/1.1\r\nX: a\0b\r\n\r\n") == base::error_code::internal_failure);
+}
+
+TEST_CASE("heads and bodies over their limits are told apart") {
+    CHECK(refusal("GET / HTTP/1.1\r\nX: " + std::string(300, 'a') + "\r\n\r\n") ==
+          base::error_code::header_too_large);
+    CHECK(refusal("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n") == base::error_code::body_too_large);
+    CHECK(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + std::string(65, 'a')) ==
+          base::error_code::body_too_large);
+}
+
+TEST_CASE("an answer ends with its length, and what follows is left over") {
+    response_parser parser;
+    parser.next(true);
+    std::string body;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    CHECK(parser.feed(answer + "HTTP/1.1 200", body) == answer.size());
+    CHECK(parser.complete());
+    CHECK(body == "ok");
+    CHECK(parser.head().length == 2);
+}
+
+TEST_CASE("an answer without a length ends with its connection only") {
+    response_parser parser;
+    parser.next(true);
+    std::string body;
+    REQUIRE(parser.feed("HTTP/1.1 200 OK\r\n\r\npart", body));
+    CHECK_FALSE(parser.complete());
+    parser.finish();
+    CHECK(parser.complete());
+    CHECK(body == "part");
+    CHECK_FALSE(parser.head().keep_alive);
+}
+
+TEST_CASE("a chunked answer that is cut does not become complete with the end of its connection") {
+    response_parser parser;
+    parser.next(true);
+    std::string body;
+    REQUIRE(parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", body));
+    parser.finish();
+    CHECK_FALSE(parser.complete());
+}
+
+TEST_CASE("bytes that are no answer are reported") {
+    response_parser parser;
+    parser.next(true);
+    std::string body;
+    const base::result<std::size_t> used = parser.feed("\x01\x02 garbage\r\n\r\n", body);
+    REQUIRE_FALSE(used);
+    CHECK(used.error().code == base::error_code::upstream_malformed_answer);
+}
