Make room for new callers, and drop requests of callers that have left

Cause: in a flood of repeating callers, each with a connection of its own, all 3,000 allowed connections of a router were idle ones.

Change: when no connection is left, the longest idle ones are closed; above 0.6 of the limit connections end with their answer. A request whose caller has closed its side when it is read is dropped.

Ruled out: lack of processor time (0.06 core at most).

--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -141,6 +141,12 @@
     shutdown(socket.number(), SHUT_WR);
 }
 
+bool peer_closed(const descriptor& socket) {
+    char byte = 0;
+    const ssize_t count = recv(socket.number(), &byte, 1, MSG_PEEK);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 bool quiet(const descriptor& socket) {
     char byte = 0;
     const ssize_t count = recv(socket.number(), &byte, 1, MSG_PEEK);
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -63,6 +63,8 @@
 transfer write_some(const descriptor& socket, std::string_view bytes);
 /// Tells the peer that nothing more is sent.
 void shutdown_write(const descriptor& socket);
+/// Whether the peer has closed its side and everything it sent was read.
+bool peer_closed(const descriptor& socket);
 /// Whether an idle connection is still open and nothing waits to be read from it.
 bool quiet(const descriptor& socket);
 
--- a/src/relay/caller.cpp
+++ b/src/relay/caller.cpp
@@ -71,14 +71,20 @@
     leave();
 }
 
+std::optional<base::time_point> caller::idle_since() const {
+    const bool idle = !gone() && !in_progress_ && !parser_.started() && unsent() == 0;
+    return idle ? std::optional<base::time_point>(last_use_) : std::nullopt;
+}
+
 void caller::close_if_idle() {
-    if (!gone() && !in_progress_ && !parser_.started() && unsent() == 0) {
+    if (idle_since()) {
         leave();
     }
 }
 
 void caller::arm_idle() {
-    loop_.timers.arm(*this, loop_.time.now() + handler_.limits().idle_timeout);
+    last_use_ = loop_.time.now();
+    loop_.timers.arm(*this, last_use_ + handler_.limits().idle_timeout);
 }
 
 void caller::on_ready(std::uint32_t events) {
@@ -166,6 +172,10 @@
     std::string body = parser_.take_body();
     parser_.next(to_limits(handler_.limits()));
     loop_.timers.disarm(*this);
+    // The bytes may have waited for long; a caller that has closed its side since does not wait any more.
+    if (http::peer_closed(socket_)) {
+        return leave();
+    }
     in_progress_ = true;
     continued_ = false;
     close_after_ = !head.keep_alive;
--- a/src/relay/caller.h
+++ b/src/relay/caller.h
@@ -69,6 +69,8 @@
     /// Closes the connection unless a request is in progress or arriving.
     void close_if_idle();
 
+    /// Since when the connection has had nothing to do; empty if it has.
+    [[nodiscard]] std::optional<base::time_point> idle_since() const;
     [[nodiscard]] bool gone() const { return !socket_.open(); }
     [[nodiscard]] bool in_progress() const { return in_progress_; }
     [[nodiscard]] std::size_t unsent() const { return out_.size() - written_; }
@@ -105,6 +107,7 @@
     bool ended_ = false;
     bool was_slow_ = false;
     bool parsing_ = false;
+    base::time_point last_use_;
     /// Refused; what still arrives is dropped until the caller has closed.
     bool lingering_ = false;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -64,7 +64,7 @@
 
 bool relay::closing() const {
     const std::shared_ptr<const dispatch::router_state> now = state_.current();
-    return now && now->draining;
+    return (now && now->draining) || (server_ && server_->crowded());
 }
 
 relay::exchange* relay::find(dispatch::session_id id) {
@@ -142,7 +142,8 @@
     while (std::optional<dispatch::relay_command> next = commands_.pop(base::duration::zero())) {
         std::visit([this](const auto& order) { carry_out(order); }, *next);
     }
-    if (closing() && !std::exchange(was_draining_, true)) {
+    const std::shared_ptr<const dispatch::router_state> now = state_.current();
+    if (now && now->draining && !std::exchange(was_draining_, true)) {
         server_->close_idle();
     }
 }
--- a/src/relay/server.cpp
+++ b/src/relay/server.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <optional>
 #include <sys/epoll.h>
 #include <utility>
 
@@ -13,6 +14,12 @@
 constexpr int accepts_per_event = 32;
 /// Pause of accepting when no descriptor is left.
 constexpr base::duration accept_pause = std::chrono::milliseconds(50);
+/// Part of the allowed connections from which on they end with their current answer.
+constexpr double crowded_share = 0.6;
+/// Part of the allowed connections that is closed at once, longest idle first, when none is left.
+constexpr std::size_t eviction_part = 8;
+/// A connection that was used within this time is not closed to make room.
+constexpr base::duration least_idle = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -39,10 +46,36 @@
     }
 }
 
+bool server::crowded() const {
+    return static_cast<double>(callers_.size() - evicted_) >
+           static_cast<double>(max_callers_) * crowded_share;
+}
+
+void server::make_room() {
+    const base::time_point now = loop_.time.now();
+    std::vector<std::pair<base::time_point, caller*>> idle;
+    for (const std::unique_ptr<caller>& each : callers_) {
+        const std::optional<base::time_point> since = each->idle_since();
+        if (since && now - *since >= least_idle) {
+            idle.emplace_back(*since, each.get());
+        }
+    }
+    std::sort(idle.begin(), idle.end());
+    idle.resize(std::min(idle.size(), max_callers_ / eviction_part));
+    for (const auto& [since, each] : idle) {
+        each->close_if_idle();
+        ++evicted_;
+    }
+    base::log_event(base::log_level::warning, "server", "idle_callers_closed", {{"closed", idle.size()}});
+}
+
 void server::on_ready(std::uint32_t /*events*/) {
     for (int i = 0; i < accepts_per_event && listener_.open(); ++i) {
+        if (callers_.size() - evicted_ >= max_callers_) {
+            make_room();
+        }
         base::result<http::descriptor> socket =
-            callers_.size() < max_callers_
+            callers_.size() - evicted_ < max_callers_
                 ? http::accept_from(listener_)
                 : base::failure(base::error_code::socket_failure, "accept", "too many connections");
         if (!socket) {
@@ -68,6 +101,7 @@
 }
 
 void server::reap() {
+    evicted_ = 0;
     callers_.erase(std::remove_if(callers_.begin(), callers_.end(),
                                   [](const std::unique_ptr<caller>& each) { return each->gone(); }),
                    callers_.end());
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -31,14 +31,19 @@
     void close_idle();
     /// Stops accepting.
     void close();
-    [[nodiscard]] std::size_t callers() const { return callers_.size(); }
+    /// So many connections are open that those which are not needed should end.
+    [[nodiscard]] bool crowded() const;
 
 private:
+    void make_room();
+
     http::descriptor listener_;
     const std::size_t max_callers_;
     const loop_context& loop_;
     request_handler& handler_;
     std::vector<std::unique_ptr<caller>> callers_;
+    /// Callers closed since the last `reap`; they hold no descriptor any more.
+    std::size_t evicted_ = 0;
     bool paused_ = false;
 };
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -144,7 +144,7 @@
 /// Relay and dispatcher as in a router, with upstreams of the test.
 class router {
 public:
-    router()
+    explicit router(std::size_t max_callers = 1000)
         : events_(1024), commands_(1024), datagrams_(64), port_(free_port()),
           tree_("test", base::restart_strategy::one_for_one, {0, seconds(1)}, clock_) {
         dispatch::dispatcher_settings decisions;
@@ -158,6 +158,7 @@
             [decisions] { return decisions; }, clock_));
         relay::relay_settings path;
         path.callers = {"127.0.0.1", port_};
+        path.max_callers = max_callers;
         tree_.add(
             std::make_unique<relay::relay>(path, speech_, commands_, events_, state_, clock_, metrics_));
         tree_.start([](const base::error&) {});
@@ -540,6 +541,30 @@
     CHECK(upstream.ended());
 }
 
+TEST_CASE("a request of a caller that has already left reaches no upstream") {
+    router fleet;
+    {
+        wire caller = fleet.call();
+        caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+        caller.close();
+    }
+    CHECK_FALSE(fleet.any_called(milliseconds(200)));
+}
+
+TEST_CASE("idle connections give way to new callers when none is left") {
+    router fleet(20);
+    std::vector<wire> idle;
+    for (int i = 0; i < 20; ++i) {
+        idle.push_back(fleet.call());
+    }
+    std::this_thread::sleep_for(milliseconds(150));
+    wire caller = fleet.call();
+    caller.send(request("/none/", "t1"));
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 404"));
+    CHECK(contains(answer, "Connection: close"));
+}
+
 TEST_CASE("an idle connection is closed after the idle time") {
     router fleet;
     wire caller = fleet.call();
