Weigh a part's age as a likelihood that it is kept

Cause: beyond a sharp limit of age a part counted as kept nowhere, and the request could go to any engine, although the last keeper often still had it.

Change: the likelihood falls from one at 0.6 of the room for parts to zero at 1.4 of it.

--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -17,6 +17,10 @@
 constexpr double prior_base_ms = 45;
 constexpr double min_base_ms = 1;
 constexpr double max_base_ms = 250;
+/// Age of a part, in tokens stored since its last use over the room for parts, up to which it is surely kept
+/// and from which on it is surely gone. Room and stored tokens are estimates.
+constexpr double sure_age = 0.6;
+constexpr double gone_age = 1.4;
 
 } // namespace
 
@@ -46,9 +50,14 @@
     return base::duration(static_cast<base::duration::rep>(ms * ns_per_ms));
 }
 
-bool part_cache::holds(part_id part, token_count room) const {
+double part_cache::holds(part_id part, token_count room) const {
     const auto found = used_.find(part);
-    return found != used_.end() && clock_ - found->second < room;
+    if (found == used_.end() || room.value() <= 0) {
+        return 0;
+    }
+    const double age = static_cast<double>((clock_ - found->second).value()) /
+                       static_cast<double>(room.value());
+    return std::clamp((gone_age - age) / (gone_age - sure_age), 0.0, 1.0);
 }
 
 void part_cache::expire(token_count room) {
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -45,8 +45,9 @@
     /// Tokens that the engine has stored since the last call.
     void store(token_count added) { clock_ += added; }
     void touch(part_id part) { used_[part] = clock_; }
-    /// `room` is the memory that running requests leave for kept parts.
-    [[nodiscard]] bool holds(part_id part, token_count room) const;
+    /// Probability that the engine still keeps the part. `room` is the memory that running requests leave for
+    /// kept parts.
+    [[nodiscard]] double holds(part_id part, token_count room) const;
     /// Forgets parts that were used before `room` tokens were stored. To be called now and then.
     void expire(token_count room);
     void clear() { used_.clear(); }
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -31,8 +31,6 @@
 /// Part of the penalty for reading a shared part that applies at its home, the upstream that all routers
 /// choose first for it.
 constexpr double home_weight = 0.5;
-/// Share of the memory that running requests leave within which kept parts are trusted to be found again.
-constexpr double part_share = 0.85;
 /// Part of a prompt that has to be read again from which on the placement counts as cold.
 constexpr double cold_share = 0.15;
 /// Weight of a delay up to and beyond the comfortable time to the first event.
@@ -142,7 +140,7 @@
         const pool* const kind =
             entry == entries_.end() || !catalogue_ ? nullptr : catalogue_->find(entry->second.pool);
         if (kind != nullptr && kind->engine) {
-            state.cache.expire(kind->engine->memory);
+            state.cache.expire(kind->engine->memory * 2);
         }
     }
 }
@@ -200,21 +198,21 @@
 token_count placement::room_for_parts(const upstream_state& state, const pool& kind) const {
     const double memory = static_cast<double>(kind.engine->memory.value());
     const double running = static_cast<double>(state.total().memory.value());
-    return token_count(static_cast<std::int64_t>(std::max(0.0, memory - running) * part_share));
+    return token_count(static_cast<std::int64_t>(std::max(0.0, memory - running)));
 }
 
-/// Tokens at the start of the prompt that the upstream does not have to read.
+/// Tokens at the start of the prompt that the upstream probably does not have to read.
 token_count placement::kept(const placement_request& what, const upstream_state& state,
                             const pool& kind) const {
     const token_count room = room_for_parts(state, kind);
-    token_count sum;
+    double sum = 0;
+    double likely = 1;
     for (const prompt_part& part : what.prompt->parts) {
-        if (!state.cache.holds(part.id, room)) {
-            break;
-        }
-        sum += part.tokens;
+        // A part is of use only with all parts before it.
+        likely = std::min(likely, state.cache.holds(part.id, room));
+        sum += likely * static_cast<double>(part.tokens.value());
     }
-    return sum;
+    return token_count(static_cast<std::int64_t>(sum));
 }
 
 /// Fills in what the choice of an engine means and returns its cost.
