Log each delivered request; tell answers that never came from status 200

Cause: an attempt without an answer was logged with status 200, and 20 lines of a kind in ten seconds are too few to follow a request by its id.

Change: status 0 until an answer has come; one line for each delivered request; 300 lines of a kind in ten seconds.

--- a/src/base/log.h
+++ b/src/base/log.h
@@ -54,6 +54,6 @@
 void log_event(log_level level, std::string_view module, std::string_view event,
                std::initializer_list<log_field> fields = {});
 
-constexpr int log_burst = 20;
+constexpr int log_burst = 300;
 
 } // namespace bluebell::base
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -484,6 +484,15 @@
             placement_.succeeded(over.target);
         }
         crashes_.completed(over.print, now_);
+        base::log_event(log_level::info, "dispatcher", "delivered",
+                        {{"request", over.trace},
+                         {"status", what.status},
+                         {"upstream", over.target.value()},
+                         {"attempts", over.attempt},
+                         {"queued_ms", ms(over.sent - over.arrived)},
+                         {"total_ms", ms(now_ - over.arrived)},
+                         {"events", what.events},
+                         {"version", over.seen->version.value()}});
         return forget(what.id);
     case attempt_outcome::held:
         crashes_.completed(over.print, now_);
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace bluebell::http {
@@ -105,7 +106,7 @@
 
     /// Pre-condition: `complete()`; the parts are moved out.
     [[nodiscard]] request_head take_head();
-    [[nodiscard]] std::string take_body() { return std::move(body_); }
+    [[nodiscard]] std::string take_body() { return std::exchange(body_, {}); }
     /// The caller waits for `100 Continue` before it sends the body.
     [[nodiscard]] bool expects_continue() const;
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -206,6 +206,8 @@
     sent->order = order;
     sent->kept.clear();
     sent->keeping = false;
+    sent->answer_head = {};
+    sent->answer_head.status = 0; // none yet
     sent->attempt_began = false;
     sent->events.drop_partial();
     link* const via = connection_for(order);
