--- /dev/null
+++ b/tests/objects_test.cpp
@@ -0,0 +1,207 @@
+#include "platform/objects.h"
+#include "store/follower.h"
+#include "wire.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+namespace {
+
+using namespace bluebell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tests::fake_server;
+using tests::wire;
+
+std::string answer(int status, const std::string& body) {
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+std::string worker(const std::string& name, const std::string& more = "") {
+    return R"({"metadata":{"name":")" + name +
+           R"(","revision":3},"spec":{"service":"s","address":"10.0.0.1:80",)" +
+           R"("zone":"z","slots":4,"state":"ready")" + more + "}}";
+}
+
+/// A store whose answers the test writes, and a client of it.
+struct fixture {
+    fake_server server;
+    base::boot_clock clock;
+    platform::objects client{{"127.0.0.1", server.port()}, milliseconds(300), clock};
+
+    /// Answers one call after the other on one connection and returns what was asked.
+    std::vector<std::string> serve(const std::vector<std::string>& answers,
+                                   const std::function<void()>& calls) {
+        std::vector<std::string> asked;
+        std::thread caller(calls);
+        {
+            wire connection = server.accept();
+            for (const std::string& each : answers) {
+                asked.push_back(connection.read_request());
+                connection.send(each);
+            }
+            caller.join();
+        }
+        return asked;
+    }
+};
+
+/// A directory that answers from a script.
+class scripted final : public store::directory {
+public:
+    explicit scripted(std::function<base::result<store::catalogue_reading>(int)> script)
+        : script_(std::move(script)) {}
+    base::result<store::catalogue_reading> read_catalogue() override { return script_(++calls_); }
+    base::result<store::catalogue_reading> await_catalogue(store::position /*from*/,
+                                                           base::duration /*wait*/) override {
+        return script_(++calls_);
+    }
+    base::result<store::roster_reading> read_upstreams() override { return store::roster_reading{}; }
+    base::result<store::roster_changes> await_upstreams(store::position /*from*/,
+                                                        base::duration /*wait*/) override {
+        return store::roster_changes{};
+    }
+    base::result<std::vector<decision::vm_entry>> read_routers(bool /*exact*/) override {
+        return std::vector<decision::vm_entry>{};
+    }
+    base::result<void> announce_router(const decision::vm_entry& /*self*/) override { return {}; }
+    void interrupt() override {}
+
+private:
+    std::function<base::result<store::catalogue_reading>(int)> script_;
+    int calls_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("a list is read page by page, and unreadable entries name no upstream") {
+    fixture store;
+    base::result<store::roster_reading> got;
+    const std::vector<std::string> asked = store.serve(
+        {answer(200, R"({"entries":[)" + worker("a") + "," + worker("b", R"(,"slots":"x")") +
+                         R"(],"has_more":true,"at":7})"),
+         answer(200, R"({"entries":[)" + worker("c") + R"(,5,{"metadata":1}],"has_more":false,"at":9})")},
+        [&] { got = store.client.read_upstreams(); });
+    REQUIRE(got);
+    CHECK(got->at.value() == 7);
+    REQUIRE(got->entries.size() == 2);
+    CHECK(got->entries[1].id.value() == "c");
+    CHECK(asked[1].find("after=b") != std::string::npos);
+}
+
+TEST_CASE("a watch reports changes and removals, and goes on from the answer's position") {
+    fixture store;
+    base::result<store::roster_changes> got;
+    const std::vector<std::string> asked =
+        store.serve({answer(200, R"({"events":[{"deleted":false,"object":)" + worker("a") +
+                                     R"(},{"deleted":true,"object":)" + worker("b") + R"(}],"at":12})")},
+                    [&] { got = store.client.await_upstreams(store::position(7), milliseconds(1500)); });
+    REQUIRE(got);
+    CHECK(asked[0].find("GET /api/objects/servers?watch=7&wait_ms=1500 ") != std::string::npos);
+    CHECK(got->at.value() == 12);
+    CHECK(got->changes[0].entry.has_value());
+    CHECK_FALSE(got->changes[1].entry.has_value());
+}
+
+TEST_CASE("each failure of the store has its code") {
+    const std::vector<std::pair<std::string, base::error_code>> cases{
+        {answer(410, "{}"), base::error_code::store_history_lost},
+        {answer(429, "{}"), base::error_code::store_rate_limited},
+        {answer(503, ""), base::error_code::store_unavailable},
+        {answer(200, "no json"), base::error_code::store_malformed},
+        {"garbage\r\n\r\n", base::error_code::store_malformed}};
+    for (const auto& [bytes, code] : cases) {
+        fixture store;
+        base::result<store::catalogue_reading> got;
+        store.serve({bytes},
+                    [&] { got = store.client.await_catalogue(store::position(1), milliseconds(10)); });
+        REQUIRE_FALSE(got);
+        CHECK(got.error().code == code);
+    }
+}
+
+TEST_CASE("a silent store ends a call in time, and the next call uses a new connection") {
+    fixture store;
+    base::result<store::catalogue_reading> first;
+    base::result<store::catalogue_reading> second;
+    std::thread caller([&] {
+        first = store.client.read_catalogue();
+        second = store.client.read_catalogue();
+    });
+    wire silent = store.server.accept();
+    silent.read_request();
+    wire fresh = store.server.accept();
+    fresh.read_request();
+    fresh.send(answer(200, R"({"entries":[],"has_more":false,"at":4})"));
+    caller.join();
+    CHECK(first.error().code == base::error_code::store_answer_lost);
+    REQUIRE(second);
+    CHECK(second->value == nullptr);
+}
+
+TEST_CASE("a router that was entered by an earlier start replaces its entry") {
+    fixture store;
+    decision::vm_entry self;
+    self.vm = base::vm_id("r1");
+    self.control = {"10.0.0.1", 7400};
+    self.admin = {"10.0.0.1", 8780};
+    base::result<void> got;
+    const std::vector<std::string> asked = store.serve({answer(409, "{}"), answer(200, "{}")},
+                                                       [&] { got = store.client.announce_router(self); });
+    CHECK(got);
+    CHECK(asked[0].find("POST /api/objects/routers ") == 0);
+    CHECK(asked[1].find("PUT /api/objects/routers/r1 ") == 0);
+}
+
+TEST_CASE("an interrupted call ends at once") {
+    fixture store;
+    base::result<store::catalogue_reading> got;
+    std::thread caller([&] { got = store.client.await_catalogue(store::position(1), seconds(30)); });
+    wire connection = store.server.accept();
+    connection.read_request();
+    store.client.interrupt();
+    caller.join();
+    CHECK_FALSE(got);
+}
+
+TEST_CASE(
+    "a follower reads everything again after a failure or a lost history, and confirms from the asking on") {
+    base::boot_clock clock;
+    base::ring<dispatch::event> events(16);
+    std::atomic<int> reads{0};
+    store::follower_settings settings;
+    settings.first_pause = milliseconds(1);
+    base::stop_signal stop;
+    store::catalogue_follower follower(
+        std::make_unique<scripted>([&](int call) -> base::result<store::catalogue_reading> {
+            ++reads;
+            if (call == 2) {
+                return base::failure(base::error_code::store_history_lost, "", "");
+            }
+            if (call == 3) {
+                return base::failure(base::error_code::store_unavailable, "", "");
+            }
+            if (call >= 5) {
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            return store::catalogue_reading{store::position(1), nullptr};
+        }),
+        events, clock, settings);
+    const base::time_point before = clock.now();
+    std::thread runner([&] { follower.run(stop); });
+    int confirmations = 0;
+    while (confirmations < 3) {
+        const std::optional<dispatch::event> next = events.pop(seconds(2));
+        REQUIRE(next);
+        const dispatch::catalogue_read* const read = std::get_if<dispatch::catalogue_read>(&*next);
+        REQUIRE(read != nullptr);
+        CHECK(read->asked >= before);
+        CHECK(read->asked <= clock.now());
+        ++confirmations;
+    }
+    stop.request();
+    runner.join();
+    CHECK(reads >= 5);
+}
