--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <map>
 #include <memory>
 
 namespace {
@@ -557,3 +559,51 @@
         });
     CHECK(told);
 }
+
+namespace {
+
+/// Tokens served to each of two accounts in six seconds, after two of warm-up, by engines that serve each
+/// request in half a second. Every 50 ms key-b sends one request and key-a twenty.
+std::map<std::string, double> serve_flood(bench& router) {
+    constexpr int steps = 160;
+    constexpr int warm_up = 40;
+    std::map<std::string, double> served;
+    std::deque<std::pair<base::time_point, session_id>> running;
+    std::vector<std::pair<std::string, session_id>> waiting;
+    std::uint64_t part = 1000;
+    for (int step = 0; step < steps; ++step) {
+        for (int i = 0; i < 21; ++i) {
+            const std::string key = i == 10 ? "key-b" : "key-a";
+            waiting.emplace_back(key, router.request("/text/1", key, 200, ++part));
+        }
+        router.pass(milliseconds(50));
+        router.tell(catalogue_read{nullptr, router.now()});
+        std::vector<std::pair<std::string, session_id>> still;
+        for (const auto& [key, id] : waiting) {
+            if (router.sent(id) != nullptr) {
+                running.emplace_back(router.now() + milliseconds(450), id);
+                router.tell(answer_began{id, 1, std::nullopt});
+                served[key] += step < warm_up ? 0 : 1;
+            } else if (router.ended(id) == nullptr) {
+                still.emplace_back(key, id);
+            }
+        }
+        waiting = std::move(still);
+        while (!running.empty() && running.front().first <= router.now()) {
+            router.over(running.front().second, attempt_outcome::delivered);
+            running.pop_front();
+        }
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("a small account gets at least half of what it asks for, or of what a flood gets") {
+    bench router;
+    std::map<std::string, double> served = serve_flood(router);
+    // One request every 50 ms for six seconds.
+    constexpr double asked = 120;
+    CHECK(served["key-a"] > 0);
+    CHECK(served["key-b"] >= std::min(asked, served["key-a"]) / 2);
+}
