Prove that requests of callers that have left are not taken up

The earlier check passed without the mechanism, since the request and the end of its connection were mostly seen together.

--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -77,6 +77,8 @@
     wire call() { return wire::to(port_); }
     fake_server& upstream(std::size_t i = 0) { return upstreams_.at(i); }
 
+    [[nodiscard]] std::string metrics() const { return metrics_.text(); }
+
     /// The upstream that is called next, and its connection.
     wire accept_any() {
         for (int i = 0; i < 300; ++i) {
@@ -453,6 +455,8 @@
         caller.close();
     }
     CHECK_FALSE(fleet.any_called(milliseconds(200)));
+    // It was not even taken up; otherwise it would have been counted as left while in progress.
+    CHECK_FALSE(contains(fleet.metrics(), "caller_left"));
 }
 
 TEST_CASE("idle connections give way to new callers when none is left") {
