--- a/bench/claims.cpp
+++ b/bench/claims.cpp
@@ -2,7 +2,7 @@
 /// decision modules and journal writers over an in-memory store. Prints CSV.
 
 #include "decision/claim.h"
-#include "platform/journal.h"
+#include "store/journal.h"
 #include "tests/fake.h"
 
 #include <algorithm>
@@ -54,7 +54,7 @@
 struct router {
     std::unique_ptr<claim_client> client;
     std::unique_ptr<claim_owner> owner;
-    std::unique_ptr<platform::journal_writer> writer;
+    std::unique_ptr<store::journal_writer> writer;
     std::deque<journal_command> commands;
     std::deque<std::pair<base::time_point, journal_answered>> answers;
     base::time_point worker_free;
@@ -79,7 +79,7 @@
             at.client = std::make_unique<claim_client>(client_settings{});
             at.owner = std::make_unique<claim_owner>(all[i], base::incarnation(1), settings, i);
             at.writer =
-                std::make_unique<platform::journal_writer>(store_, clock_, platform::journal_settings{}, i);
+                std::make_unique<store::journal_writer>(store_, clock_, store::journal_settings{}, i);
             take(i, at.client->members_changed(all, clock_.now()));
             take(i, at.owner->members_changed(all, clock_.now()));
         }
--- a/bench/release.cpp
+++ b/bench/release.cpp
@@ -1,4 +1,4 @@
-#include "platform/config.h"
+#include "store/config.h"
 #include "standin/objects.h"
 
 #include <chrono>
@@ -18,7 +18,7 @@
 constexpr double watch_slices_per_s = 2;
 constexpr double polls_per_s = 1.0 / 30;
 
-class no_routers final : public platform::acknowledgements {
+class no_routers final : public store::acknowledgements {
 public:
     base::result<std::vector<base::vm_id>> behind(base::revision /*rev*/) override {
         return std::vector<base::vm_id>();
@@ -26,7 +26,7 @@
 };
 
 /// The table of the stand-in without HTTP.
-class table_store final : public platform::object_store {
+class table_store final : public store::object_store {
 public:
     explicit table_store(standin::object_table& table) : table_(table) {
         standin::object_fault unlimited;
@@ -34,20 +34,20 @@
         unlimited.writes_per_s = 1000000000;
         table_.inject(unlimited);
     }
-    base::result<platform::stored_object> read(const base::object_name& name) override {
+    base::result<store::stored_object> read(const base::object_name& name) override {
         const standin::object_answer answer = table_.read(name.value());
         if (answer.status != 200) {
             return base::failure(base::error_code::store_not_found, name.value(), "no such object");
         }
         table_.count_bytes(0, answer.object.value.size());
-        return platform::stored_object{answer.object.value, base::object_version(answer.object.version)};
+        return store::stored_object{answer.object.value, base::object_version(answer.object.version)};
     }
     base::result<base::object_version> update(const base::object_name& name, const std::string& value,
                                               base::object_version expected) override {
         table_.count_bytes(value.size(), 0);
         return base::object_version(table_.write(name.value(), value, expected.value()).object.version);
     }
-    base::result<platform::stored_object> watch(const base::object_name& name, base::object_version /*known*/,
+    base::result<store::stored_object> watch(const base::object_name& name, base::object_version /*known*/,
                                                 base::duration /*timeout*/) override {
         return read(name);
     }
@@ -120,24 +120,24 @@
     standin::object_table table;
     table_store store(table);
     no_routers acknowledged;
-    platform::publisher writer(store, acknowledged, {8, std::chrono::milliseconds(0)});
+    store::publisher writer(store, acknowledged, {8, std::chrono::milliseconds(0)});
     if (!writer.publish(fleet_note(accounts, upstreams), base::change_id("load"))) {
         throw std::runtime_error("the first release was refused");
     }
-    platform::store_chunks chunks(store);
+    store::store_chunks chunks(store);
     cost publish;
     cost update;
     cost load;
-    std::shared_ptr<const platform::config_image> image = *writer.read();
+    std::shared_ptr<const store::config_image> image = *writer.read();
     for (int i = 0; i < repeats; ++i) {
         publish =
             measure(table, [&] { (void)writer.publish(change_note(i), base::change_id(std::to_string(i))); });
-        std::shared_ptr<const platform::config_image> next;
+        std::shared_ptr<const store::config_image> next;
         update = measure(table, [&] {
-            next = *platform::load_image(store.read(platform::head_name())->value, image.get(), chunks);
+            next = *store::load_image(store.read(store::head_name())->value, image.get(), chunks);
         });
         load = measure(table, [&] {
-            image = *platform::load_image(store.read(platform::head_name())->value, nullptr, chunks);
+            image = *store::load_image(store.read(store::head_name())->value, nullptr, chunks);
         });
     }
     std::size_t largest = 0;
@@ -152,7 +152,7 @@
     const double release_calls = publish.calls + routers * update.calls;
     const std::string bundle = render_config(*image);
     const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
-    (void)platform::parse_config(bundle, nullptr);
+    (void)store::parse_config(bundle, nullptr);
     const std::chrono::duration<double, std::milli> peer = std::chrono::steady_clock::now() - start;
     std::cout << accounts << ',' << upstreams << ',' << routers << ',' << image->head_text.size() << ','
               << image->chunks.size() << ',' << largest << ','
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 #include <mutex>
 
 namespace bluebell::base {
@@ -28,6 +29,16 @@
     [[nodiscard]] time_point now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/// Monotonic time that goes on while the machine is suspended, for limits on the age of what is known.
+class boot_clock final : public clock {
+public:
+    [[nodiscard]] time_point now() const override {
+        timespec read{};
+        clock_gettime(CLOCK_BOOTTIME, &read);
+        return time_point(std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
+    }
+};
+
 /// A clock that a test moves by hand. Starts at one hour, so that subtracting a timeout stays positive.
 class manual_clock final : public clock {
 public:
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -14,6 +14,8 @@
         return "unknown_client_account";
     case error_code::unknown_pool:
         return "unknown_pool";
+    case error_code::header_too_large:
+        return "header_too_large";
     case error_code::body_too_large:
         return "body_too_large";
     case error_code::idempotency_key_required:
@@ -66,6 +68,8 @@
         return "store_not_found";
     case error_code::store_malformed:
         return "store_malformed";
+    case error_code::store_history_lost:
+        return "store_history_lost";
     case error_code::store_answer_lost:
         return "store_answer_lost";
     case error_code::value_too_large:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <ostream>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <utility>
 
 namespace bluebell::base {
 
@@ -15,6 +17,7 @@
     invalid_field,
     unknown_client_account,
     unknown_pool,
+    header_too_large,
     body_too_large,
     idempotency_key_required,
     key_in_progress,
@@ -44,6 +47,7 @@
     store_not_found,
     store_malformed,
     store_answer_lost,
+    store_history_lost,
     value_too_large,
     deposed,
     lease_lost,
@@ -91,6 +95,17 @@
     std::string text;
 };
 
+/// Ends a worker; its supervisor restarts it.
+class fatal_error : public std::runtime_error {
+public:
+    explicit fatal_error(error cause)
+        : std::runtime_error(cause.place + ": " + cause.text), cause_(std::move(cause)) {}
+    [[nodiscard]] const error& cause() const { return cause_; }
+
+private:
+    error cause_;
+};
+
 template <typename T>
 using result = tl::expected<T, error>;
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -71,8 +72,16 @@
     return spdlog::level::info;
 }
 
+/// Lines that wait for the output at most; about half a kilobyte each.
+constexpr std::size_t queue_lines = 1024;
+
 } // namespace
 
+unsigned long dropped_log_lines() {
+    const std::shared_ptr<spdlog::details::thread_pool> pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
 std::string json_quote(std::string_view text) {
     std::string quoted = "\"";
     for (const char c : text) {
@@ -98,10 +107,13 @@
     : name_(name), json_(std::to_string(value)) {}
 log_field::log_field(std::string_view name, bool value) : name_(name), json_(value ? "true" : "false") {}
 
-void start_log(log_level lowest, const std::string& process) {
+void start_log(log_level lowest, const std::string& process, log_output output) {
     log_state& log = state();
     log.process = process;
-    log.logger = spdlog::stderr_logger_mt("bluebell");
+    spdlog::init_thread_pool(queue_lines, 1);
+    log.logger = output == log_output::standard_error
+                     ? spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("bluebell")
+                     : spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("bluebell");
     log.logger->set_level(to_spdlog(lowest));
     log.logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})",
                             spdlog::pattern_time_type::utc);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -37,9 +37,16 @@
 /// Escapes a string for JSON and puts it in quotes.
 std::string json_quote(std::string_view text);
 
-/// Sends JSON lines to standard error. Without this call nothing is logged.
+enum class log_output { standard_error, standard_output };
+
+/// Sends JSON lines to `output`. Without this call nothing is logged. A thread of its own writes the lines;
+/// while the output takes none, the oldest waiting lines are dropped and counted, so that no caller waits.
 /// Pre-condition: called once, before other threads start.
-void start_log(log_level lowest, const std::string& process);
+void start_log(log_level lowest, const std::string& process,
+               log_output output = log_output::standard_error);
+
+/// Lines that were dropped because the output took none.
+unsigned long dropped_log_lines();
 
 /// Writes one JSON line: time, level, process, module, event and the fields. Bodies and secrets are never
 /// passed. At most `log_burst` records of the same module and event are written within ten seconds; the next
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -17,6 +17,8 @@
     {{"ms", 1'000'000}, {"s", 1'000'000'000}, {"min", 60'000'000'000}, {"h", 3'600'000'000'000}}};
 constexpr std::array<unit_factor, 3> byte_units{{{"B", 1}, {"KiB", 1024}, {"MiB", 1048576}}};
 constexpr std::int64_t max_plain_number = 1'000'000'000;
+/// Resolution of decimal numbers.
+constexpr std::int64_t millionths = 1'000'000;
 
 template <std::size_t Count>
 std::optional<std::int64_t> factor_of(const std::array<unit_factor, Count>& units, std::string_view name) {
@@ -32,11 +34,26 @@
     if (type == setting_type::bytes) {
         return factor_of(byte_units, unit);
     }
-    return unit.empty() ? std::optional<std::int64_t>(1) : std::nullopt;
+    const std::int64_t plain = type == setting_type::decimal ? millionths : 1;
+    return unit.empty() ? std::optional<std::int64_t>(plain) : std::nullopt;
+}
+
+/// Digits after the point as part of `factor`; empty if there are none, or if the type has no fractions.
+std::optional<std::int64_t> parse_fraction(setting_type type, std::string_view digits, std::int64_t factor) {
+    if (digits.empty() || (type != setting_type::time_span && type != setting_type::decimal)) {
+        return std::nullopt;
+    }
+    std::int64_t sum = 0;
+    for (const char digit : digits) {
+        factor /= 10;
+        sum += (digit - '0') * factor;
+    }
+    return sum;
 }
 
 bool numeric(setting_type type) {
-    return type == setting_type::integer || type == setting_type::time_span || type == setting_type::bytes;
+    return type == setting_type::integer || type == setting_type::time_span || type == setting_type::bytes ||
+           type == setting_type::decimal;
 }
 
 std::string expectation(const setting_spec& spec) {
@@ -52,6 +69,8 @@
     }
     case setting_type::integer:
         return "a whole number without unit";
+    case setting_type::decimal:
+        return "a number without unit";
     case setting_type::time_span:
         return "a number with unit ms, s, min or h";
     case setting_type::bytes:
@@ -114,6 +133,23 @@
 
 } // namespace
 
+setting_spec required_setting(std::string section, std::string key, setting_type type,
+                              std::string description) {
+    return {std::move(section), std::move(key), type, std::nullopt, "", "", {}, std::move(description)};
+}
+
+setting_spec text_setting(std::string section, std::string key, std::string fallback,
+                          std::string description) {
+    return {std::move(section),    std::move(key), setting_type::text, std::move(fallback), "", "", {},
+            std::move(description)};
+}
+
+setting_spec ranged_setting(std::string section, std::string key, setting_type type, std::string fallback,
+                            std::string lowest, std::string highest, std::string description) {
+    return {std::move(section), std::move(key),     type, std::move(fallback),
+            std::move(lowest),  std::move(highest), {},   std::move(description)};
+}
+
 std::string_view to_string(setting_type type) {
     switch (type) {
     case setting_type::text:
@@ -122,6 +158,8 @@
         return "choice";
     case setting_type::integer:
         return "integer";
+    case setting_type::decimal:
+        return "decimal";
     case setting_type::time_span:
         return "duration";
     case setting_type::bytes:
@@ -139,12 +177,21 @@
     if (parsed.ec != std::errc() || number < 0 || number > max_plain_number) {
         return std::nullopt;
     }
-    const std::string_view unit(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
-    const std::optional<std::int64_t> factor = factor_for(type, unit);
-    if (!factor || number > INT64_MAX / *factor) {
+    std::string_view rest(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
+    std::string_view digits;
+    const bool has_point = !rest.empty() && rest.front() == '.';
+    if (has_point) {
+        rest.remove_prefix(1);
+        digits = rest.substr(0, std::min(rest.find_first_not_of("0123456789"), rest.size()));
+        rest.remove_prefix(digits.size());
+    }
+    const std::optional<std::int64_t> factor = factor_for(type, rest);
+    if (!factor || number > INT64_MAX / *factor - 1) {
         return std::nullopt;
     }
-    return number * *factor;
+    const std::optional<std::int64_t> fraction =
+        has_point ? parse_fraction(type, digits, *factor) : std::optional<std::int64_t>(0);
+    return fraction ? std::optional<std::int64_t>(number * *factor + *fraction) : std::nullopt;
 }
 
 std::optional<address> parse_address(const std::string& text) {
@@ -214,6 +261,11 @@
     return *parse_number(setting_type::integer, text(section, key));
 }
 
+double settings::decimal(const std::string& section, const std::string& key) const {
+    return static_cast<double>(*parse_number(setting_type::decimal, text(section, key))) /
+           static_cast<double>(millionths);
+}
+
 duration settings::time(const std::string& section, const std::string& key) const {
     return std::chrono::nanoseconds(*parse_number(setting_type::time_span, text(section, key)));
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -17,8 +17,9 @@
 enum class setting_type {
     text,      ///< not empty
     choice,    ///< one of `choices`
-    integer,   ///< without unit
-    time_span, ///< with unit `ms`, `s`, `min` or `h`
+    integer,   ///< whole, without unit
+    decimal,   ///< may have a fraction, without unit
+    time_span, ///< with unit `ms`, `s`, `min` or `h`; may have a fraction
     bytes,     ///< with unit `B`, `KiB` or `MiB`
     address,   ///< `IP:PORT`; port 0 lets the system choose
 };
@@ -38,6 +39,13 @@
     std::string description;
 };
 
+setting_spec required_setting(std::string section, std::string key, setting_type type,
+                              std::string description);
+setting_spec text_setting(std::string section, std::string key, std::string fallback,
+                          std::string description);
+setting_spec ranged_setting(std::string section, std::string key, setting_type type, std::string fallback,
+                            std::string lowest, std::string highest, std::string description);
+
 /// IP number and port.
 struct address {
     std::string ip;
@@ -56,6 +64,7 @@
 
     [[nodiscard]] const std::string& text(const std::string& section, const std::string& key) const;
     [[nodiscard]] std::int64_t integer(const std::string& section, const std::string& key) const;
+    [[nodiscard]] double decimal(const std::string& section, const std::string& key) const;
     [[nodiscard]] duration time(const std::string& section, const std::string& key) const;
     [[nodiscard]] byte_count bytes(const std::string& section, const std::string& key) const;
     [[nodiscard]] address endpoint(const std::string& section, const std::string& key) const;
@@ -70,7 +79,7 @@
     std::map<std::pair<std::string, std::string>, value> values_;
 };
 
-/// Number in the base unit of the type (nanoseconds, bytes); empty if `text` is malformed.
+/// Number in the base unit of the type (nanoseconds, bytes, millionths of a decimal); empty if `text` is malformed.
 std::optional<std::int64_t> parse_number(setting_type type, const std::string& text);
 std::optional<address> parse_address(const std::string& text);
 
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "platform/note.h"
+#include "store/note.h"
 
 #include <cerrno>
 #include <cstring>
@@ -138,7 +138,7 @@
     if (!in) {
         return tl::unexpected<exit_code>(report({{error_code::note_malformed, file, std::strerror(errno)}}));
     }
-    tl::expected<decision::release_note, std::vector<base::error>> note = platform::parse_note(in, file);
+    tl::expected<decision::release_note, std::vector<base::error>> note = store::parse_note(in, file);
     if (!note) {
         return tl::unexpected<exit_code>(report(note.error()));
     }
@@ -201,8 +201,8 @@
     }
 }
 
-tl::expected<platform::published_release, exit_code> commands::publish(const decision::release_note& note) {
-    tl::expected<platform::published_release, std::vector<base::error>> published =
+tl::expected<store::published_release, exit_code> commands::publish(const decision::release_note& note) {
+    tl::expected<store::published_release, std::vector<base::error>> published =
         publisher_.publish(note, new_change());
     if (!published) {
         return tl::unexpected<exit_code>(report(published.error()));
@@ -218,7 +218,7 @@
     }
     std::optional<decision::release_note> next = *note;
     while (next) {
-        const tl::expected<platform::published_release, exit_code> published = publish(*next);
+        const tl::expected<store::published_release, exit_code> published = publish(*next);
         if (!published) {
             return published.error();
         }
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -2,7 +2,7 @@
 
 #include "base/error.h"
 #include "ctl/fleet.h"
-#include "platform/config.h"
+#include "store/config.h"
 
 #include <memory>
 #include <ostream>
@@ -45,13 +45,13 @@
     exit_code top(int rounds);
 
 private:
-    using image_pointer = std::shared_ptr<const platform::config_image>;
+    using image_pointer = std::shared_ptr<const store::config_image>;
 
     tl::expected<decision::release_note, exit_code> read_note(const std::string& file);
     tl::expected<image_pointer, exit_code> read_release();
     /// Prints the faults and says what to do about them.
     exit_code report(const std::vector<base::error>& faults);
-    tl::expected<platform::published_release, exit_code> publish(const decision::release_note& note);
+    tl::expected<store::published_release, exit_code> publish(const decision::release_note& note);
     exit_code wait_in_force(base::revision rev);
     void print_accepted(const decision::release_change& change);
     void print_router(const decision::vm_entry& router, base::revision expected);
@@ -60,9 +60,9 @@
     command_options options_;
     std::ostream& out_;
     std::ostream& err_;
-    platform::http_object_store store_;
+    store::http_object_store store_;
     fleet fleet_;
-    platform::publisher publisher_;
+    store::publisher publisher_;
 };
 
 } // namespace bluebell::ctl
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-fleet::fleet(const decision::endpoint& store, platform::call_limits limits)
+fleet::fleet(const decision::endpoint& store, store::call_limits limits)
     : vms_(store, limits), limits_(limits) {}
 
 base::result<decision::vm_entry> fleet::find(const base::vm_id& vm) {
@@ -34,8 +34,8 @@
 }
 
 base::result<std::string> fleet::get(const decision::vm_entry& router, const std::string& path) const {
-    platform::http_connection connection(router.admin, limits_);
-    base::result<platform::http_answer> answer = connection.fetch(path, "");
+    store::http_connection connection(router.admin, limits_);
+    base::result<store::http_answer> answer = connection.fetch(path, "");
     if (!answer) {
         return tl::unexpected<base::error>(unreachable(router, answer.error().text));
     }
@@ -46,10 +46,10 @@
 }
 
 base::result<void> fleet::drain(const decision::vm_entry& router) const {
-    platform::http_connection connection(router.admin, limits_);
+    store::http_connection connection(router.admin, limits_);
     cxxtools::http::Request request("/drain");
     request.method("POST");
-    const base::result<platform::http_answer> answer = connection.change(request);
+    const base::result<store::http_answer> answer = connection.change(request);
     if (!answer) {
         return tl::unexpected<base::error>(unreachable(router, answer.error().text));
     }
--- a/src/ctl/fleet.h
+++ b/src/ctl/fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/config.h"
-#include "platform/http.h"
+#include "store/config.h"
+#include "store/http.h"
 
 #include <string>
 #include <vector>
@@ -10,9 +10,9 @@
 
 /// Asks the routers that the VM list shows, over their admin ports.
 /// Thread safety: used by one thread.
-class fleet final : public platform::acknowledgements {
+class fleet final : public store::acknowledgements {
 public:
-    fleet(const decision::endpoint& store, platform::call_limits limits);
+    fleet(const decision::endpoint& store, store::call_limits limits);
 
     base::result<std::vector<decision::vm_entry>> routers() { return vms_.read(); }
     /// Error `store_not_found` if the VM list does not show the router.
@@ -27,8 +27,8 @@
     base::result<std::vector<base::vm_id>> behind(base::revision rev) override;
 
 private:
-    platform::http_vm_list vms_;
-    platform::call_limits limits_;
+    store::http_vm_list vms_;
+    store::call_limits limits_;
 };
 
 } // namespace bluebell::ctl
--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -185,8 +185,31 @@
     base::upstream_id upstream;
 };
 
+/// Work that the sender has placed on one upstream.
+struct upstream_work {
+    base::upstream_id upstream;
+    std::uint32_t running = 0;
+    /// Prompt tokens of requests that have not produced a token yet.
+    std::uint64_t pending_tokens = 0;
+    /// Tokens of running requests in the memory of the engine, the expected answers included.
+    std::uint64_t memory_tokens = 0;
+};
+
+/// Service of one account at the sender, decaying with `fair_share::memory`.
+struct account_work {
+    base::client_account_id account;
+    base::cost served;
+    base::cost asked;
+};
+
+/// Everything that the sender has in progress; replaces its last report.
+struct work_report {
+    std::vector<upstream_work> upstreams;
+    std::vector<account_work> accounts;
+};
+
 using message = std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim,
-                             claim_result, settle, settle_ack, crash_report>;
+                             claim_result, settle, settle_ack, crash_report, work_report>;
 
 struct pool_time {
     base::pool_id pool;
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -271,6 +271,9 @@
 }
 
 /// Passes a crash report on to a few peers; each router does so once, so that all hear of it.
+/// Capacity is shared by permits here; the routers that place work without them exchange these reports.
+void router::receive(const message_header& /*header*/, const work_report& /*body*/) {}
+
 void router::spread(const crash_report& what) {
     for (const base::vm_id& peer : members_.random_peers(crash_fanout)) {
         send({peer, what});
--- a/src/decision/router.h
+++ b/src/decision/router.h
@@ -105,6 +105,7 @@
     void receive(const message_header& header, const settle& body);
     void receive(const message_header& header, const settle_ack& body);
     void receive(const message_header& header, const crash_report& body);
+    void receive(const message_header& header, const work_report& body);
 
     [[nodiscard]] std::optional<base::error> refusal() const;
     [[nodiscard]] bool isolated() const;
--- /dev/null
+++ b/src/dispatch/dispatcher.cpp
@@ -0,0 +1,719 @@
+#include "dispatch/dispatcher.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bluebell::dispatch {
+namespace {
+
+using base::error_code;
+using base::log_level;
+
+/// Shortest time between two passes over the queues.
+constexpr base::duration pass_interval = std::chrono::milliseconds(5);
+/// Longest time between two passes while requests wait.
+constexpr base::duration longest_pass = std::chrono::milliseconds(10);
+/// Placements that may fail in one pass over a queue before the rest is left for the next pass.
+constexpr int failures_per_pass = 12;
+/// Part of the objective within which a first event is aimed at.
+constexpr double objective_use = 0.9;
+/// Part of the objective that a request may wait in the queue before it is refused.
+constexpr double hold_share = 0.4;
+/// Wait at the engine, as a part of the objective, that a request may cause which is late anyway.
+constexpr double late_wait = 0.15;
+/// Share of an engine that requests which are late anyway may fill.
+constexpr double late_room = 0.8;
+/// Accounts ahead of their fair share by this much have their limits lowered, to `least_standing` at most.
+constexpr double ahead_begin = 0.95;
+constexpr double ahead_end = 1.35;
+constexpr double least_standing = 0.25;
+/// Time to pass the answer on to the caller.
+constexpr base::duration delivery_time = std::chrono::milliseconds(8);
+/// A retry is not started with less time than this left.
+constexpr base::duration least_time_left = std::chrono::milliseconds(20);
+/// Difference in the patience of a caller that counts as an earlier attempt.
+constexpr base::duration patience_tolerance = std::chrono::milliseconds(20);
+/// Distinct patience values that are counted for a route.
+constexpr std::size_t patience_limit = 64;
+/// How long a broken connection is kept as a sign of a crash that may be confirmed.
+constexpr base::duration suspicion_time = std::chrono::seconds(2);
+/// Pause of an upstream that refuses work because it is full.
+constexpr base::duration full_pause = std::chrono::milliseconds(30);
+/// Pause of an upstream whose address another one has; its entry is corrected meanwhile.
+constexpr base::duration misdirected_pause = std::chrono::seconds(1);
+/// Routers that a router without a list of its peers assumes to exist.
+constexpr std::size_t assumed_fleet = 16;
+/// Peers that each report goes to.
+constexpr std::size_t report_fanout = 16;
+/// Part of the fleet's retry budget that the routers use together; the rest covers routers that come and go.
+constexpr double budget_use = 0.8;
+/// Tokens read count once, tokens generated twice, in the service of accounts.
+constexpr double output_weight = 2;
+/// Service of a request to a plain service, in the same unit.
+constexpr double plain_price = 1;
+/// Refused callers are told to come back after this time, plus a random part of it.
+constexpr base::duration come_back_base = std::chrono::milliseconds(700);
+constexpr std::size_t distinct_crashes = 3;
+
+double ms(base::duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+base::duration scaled(base::duration value, double factor) {
+    return std::chrono::duration_cast<base::duration>(value * factor);
+}
+
+token_count expected_output(const prompt_facts& prompt) {
+    return prompt.output_hint ? std::min(*prompt.output_hint, prompt.max_output) : prompt.max_output;
+}
+
+decision::state_value number(const std::string& name, double value) {
+    return {name, std::to_string(value)};
+}
+
+} // namespace
+
+std::string_view to_string(attempt_outcome value) {
+    switch (value) {
+    case attempt_outcome::delivered:
+        return "delivered";
+    case attempt_outcome::held:
+        return "held";
+    case attempt_outcome::refused:
+        return "refused";
+    case attempt_outcome::misdirected:
+        return "misdirected";
+    case attempt_outcome::unsent:
+        return "unsent";
+    case attempt_outcome::lost:
+        return "lost";
+    case attempt_outcome::garbled:
+        return "garbled";
+    case attempt_outcome::cut:
+        return "cut";
+    }
+    return "unknown";
+}
+
+dispatcher::dispatcher(const dispatcher_settings& settings, base::time_point now)
+    : settings_(settings), now_(now), members_(settings.member, now),
+      placement_(settings.data_centre, settings.seed),
+      budget_({settings.retry_ratio * budget_use, 0}),
+      crashes_({distinct_crashes, std::chrono::minutes(10), 4096}), next_report_(now), next_pass_(now),
+      random_(settings.seed) {}
+
+void dispatcher::handle(const event& what, base::time_point now) {
+    now_ = now;
+    std::visit([this](const auto& each) { on(each); }, what);
+}
+
+void dispatcher::tick(base::time_point now) {
+    now_ = now;
+    if (now >= members_.next_due()) {
+        members_.tick(now);
+        crashes_.tick(now);
+        if (roster_.expire(now)) {
+            apply_roster();
+        }
+    }
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        const auto found = sessions_.find(deadlines_.begin()->second);
+        if (found == sessions_.end()) {
+            deadlines_.erase(deadlines_.begin());
+        } else if (found->second.state == stage::queued) {
+            end(found->second, 503, error_code::deadline_exceeded);
+        } else {
+            end(found->second, 504, error_code::deadline_exceeded);
+        }
+    }
+    if (now >= next_report_) {
+        share_.update(now);
+        placement_.update(now);
+        budget_.set_minimum(settings_.retry_slack * budget_use / static_cast<double>(fleet_size()) /
+                            static_cast<double>(decision::retry_budget::window.count()));
+        send_report();
+        next_report_ = now + settings_.report_interval;
+    }
+    if (now >= next_pass_) {
+        serve_queues();
+        next_pass_ = now + pass_interval;
+    }
+    send_messages();
+}
+
+base::time_point dispatcher::next_due() const {
+    base::time_point due = std::min(members_.next_due(), next_report_);
+    if (!deadlines_.empty()) {
+        due = std::min(due, deadlines_.begin()->first);
+    }
+    const bool waiting = std::any_of(queues_.begin(), queues_.end(),
+                                     [](const auto& queue) { return !queue.second.empty(); });
+    if (waiting) {
+        due = std::min(due, queue_changed_ ? next_pass_ : next_pass_ + longest_pass - pass_interval);
+    }
+    return due;
+}
+
+dispatcher_output dispatcher::take() {
+    return std::exchange(output_, {});
+}
+
+bool dispatcher::fresh(base::time_point now) const {
+    return confirmed_ && now - *confirmed_ <= settings_.freshness;
+}
+
+bool dispatcher::ready(base::time_point now) const {
+    if (!catalogue_ || draining()) {
+        return false;
+    }
+    // Without any router that reaches the store, the balancer has no better one to choose.
+    const std::optional<base::time_point> peer = members_.peer_confirmed();
+    return fresh(now) || !peer || now - *peer > settings_.freshness;
+}
+
+bool dispatcher::drained(base::time_point now) const {
+    if (!drain_began_) {
+        return false;
+    }
+    const base::duration since = now - *drain_began_;
+    return since >= settings_.drain_limit || (sessions_.empty() && since >= settings_.drain_least);
+}
+
+std::optional<error_code> dispatcher::refusal(const request_read& what, const route& via) const {
+    if (via.anonymous) {
+        return std::nullopt;
+    }
+    if (!fresh(now_)) {
+        return error_code::router_isolated;
+    }
+    if (catalogue_->keys.count(what.key) == 0) {
+        return error_code::unknown_client_account;
+    }
+    return std::nullopt;
+}
+
+void dispatcher::on(const request_read& what) {
+    session made;
+    made.id = what.id;
+    made.trace = what.trace;
+    made.arrived = what.arrived;
+    if (!catalogue_) {
+        return end(made, 503, error_code::not_ready);
+    }
+    const route* const via = catalogue_->match(what.host, what.path);
+    if (via == nullptr) {
+        return fresh(now_) ? end(made, 404, error_code::unknown_pool)
+                           : end(made, 503, error_code::router_isolated);
+    }
+    if (const std::optional<error_code> refused = refusal(what, *via)) {
+        return end(made, *refused == error_code::unknown_client_account ? 401 : 503, *refused);
+    }
+    made.seen = catalogue_;
+    made.via = via;
+    made.pool = pick_pool(*via);
+    made.key = via->anonymous ? std::string() : what.key;
+    made.account = via->anonymous ? base::client_account_id() : catalogue_->keys.at(what.key);
+    made.prompt = what.prompt;
+    made.print = what.print;
+    made.spent = earlier_attempts(*via, what.patience);
+    made.deadline = what.arrived + std::min(what.patience.value_or(via->timeout), via->timeout);
+    const pool* const kind = catalogue_->find(made.pool);
+    const double output = static_cast<double>(expected_output(what.prompt).value());
+    const bool engine = kind != nullptr && kind->engine;
+    made.price = base::cost(
+        engine ? static_cast<double>(what.prompt.prompt.value()) + output_weight * output : plain_price);
+    made.memory = what.prompt.prompt + expected_output(what.prompt);
+    budget_.first_attempt(made.pool, now_);
+    if (drain_began_ && now_ - *drain_began_ > settings_.drain_accept) {
+        return end(made, 503, error_code::draining, std::chrono::milliseconds(100));
+    }
+    if (crashes_.blocked(made.print, now_)) {
+        return end(made, 502, error_code::poison_request);
+    }
+    if (engine && made.spent == base::duration::zero()) {
+        share_.ask(made.account, made.price, now_);
+    }
+    session& kept = sessions_.emplace(what.id, std::move(made)).first->second;
+    deadlines_.emplace(kept.deadline, kept.id);
+    if (!try_place(kept)) {
+        enqueue(kept);
+    }
+}
+
+/// A caller that tries again has less time left than the usual first attempt on the same route.
+base::duration dispatcher::earlier_attempts(const route& via, const std::optional<base::duration>& patience) {
+    if (!patience) {
+        return base::duration::zero();
+    }
+    std::map<std::int64_t, std::uint32_t>& seen = patience_[via.id];
+    const std::int64_t value = patience->count();
+    if (seen.size() < patience_limit || seen.count(value) != 0) {
+        ++seen[value];
+    }
+    const auto usual = std::max_element(seen.begin(), seen.end(),
+                                        [](const auto& a, const auto& b) { return a.second < b.second; });
+    const base::duration less = base::duration(usual->first) - *patience;
+    return usual->second > 1 && less > patience_tolerance ? less : base::duration::zero();
+}
+
+const base::pool_id& dispatcher::pick_pool(const route& via) {
+    double total = 0;
+    for (const weighted_pool& each : via.pools) {
+        total += each.weight;
+    }
+    double left = std::uniform_real_distribution<double>(0, total)(random_);
+    for (const weighted_pool& each : via.pools) {
+        left -= each.weight;
+        if (left <= 0 && each.weight > 0) {
+            return each.pool;
+        }
+    }
+    return via.pools.back().pool;
+}
+
+/// One for accounts within their fair share, less for those ahead of it.
+double dispatcher::standing(const session& what) const {
+    const double position = share_.position(what.account);
+    if (position <= ahead_begin) {
+        return 1;
+    }
+    const double excess = std::min(1.0, (position - ahead_begin) / (ahead_end - ahead_begin));
+    return 1 - excess * (1 - least_standing);
+}
+
+bool dispatcher::admit(const session& what, const placement_choice& choice) const {
+    const pool* const kind = what.seen->find(what.pool);
+    if (kind == nullptr || !kind->engine) {
+        return true;
+    }
+    const base::duration objective = what.via->objective;
+    const base::duration elapsed = what.spent + (now_ - what.arrived);
+    const base::duration alone = choice.first_event - choice.wait;
+    const base::duration allowance = scaled(objective, objective_use) - elapsed - alone - delivery_time;
+    const base::duration least = scaled(objective, late_wait);
+    return choice.wait <= std::max(scaled(allowance, standing(what)), least);
+}
+
+bool dispatcher::try_place(session& what) {
+    const bool late = what.spent + (now_ - what.arrived) >= what.via->objective;
+    placement_request wanted;
+    wanted.pool = what.pool;
+    wanted.prompt = &what.prompt;
+    wanted.memory = what.memory;
+    wanted.excluded = &what.tried;
+    wanted.room = late || standing(what) < 1 ? late_room : 1;
+    const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
+    if (!choice || !admit(what, *choice)) {
+        return false;
+    }
+    send(what, *choice);
+    return true;
+}
+
+void dispatcher::send(session& what, const placement_choice& choice) {
+    const upstream_entry* const entry = roster_.find(choice.upstream);
+    if (entry == nullptr) {
+        return;
+    }
+    const pool* const kind = what.seen->find(what.pool);
+    const bool engine = kind != nullptr && kind->engine;
+    what.state = stage::sent;
+    ++what.attempt;
+    ++what.used;
+    what.target = choice.upstream;
+    what.ahead = choice.ahead;
+    what.placed = {1, choice.uncached, what.memory};
+    what.sent = now_;
+    what.began = false;
+    placement_.sent(choice.upstream, what.placed, what.prompt, now_);
+    if (engine && what.attempt == 1) {
+        share_.serve(what.account, what.price, now_);
+    }
+    send_request order;
+    order.id = what.id;
+    order.attempt = what.attempt;
+    order.target = *entry;
+    order.account = what.account;
+    order.deadline = what.deadline;
+    order.streaming = what.via->kind == route_kind::streaming;
+    order.resumable = order.streaming && what.via->resumable;
+    order.repeatable = what.via->repeatable();
+    order.hold_failures = what.via->kind == route_kind::safe && what.used < what.via->max_attempts;
+    order.max_connections = placement_.connection_share(what.pool, fleet_size());
+    output_.relay.emplace_back(std::move(order));
+    base::log_event(log_level::debug, "dispatcher", "sent",
+                    {{"request", what.trace},
+                     {"attempt", what.attempt},
+                     {"upstream", choice.upstream.value()},
+                     {"first_event_ms", ms(choice.first_event)},
+                     {"wait_ms", ms(choice.wait)},
+                     {"uncached", choice.uncached.value()}});
+}
+
+void dispatcher::enqueue(session& what) {
+    what.state = stage::queued;
+    queues_[what.pool].push_back(what.id);
+    queue_changed_ = true;
+}
+
+base::duration dispatcher::hold_time(const session& what) const {
+    return scaled(what.via->objective, hold_share);
+}
+
+void dispatcher::serve_queues() {
+    queue_changed_ = false;
+    for (auto& [pool, queue] : queues_) {
+        std::vector<std::pair<double, session_id>> order;
+        for (const session_id id : queue) {
+            const auto found = sessions_.find(id);
+            if (found != sessions_.end() && found->second.state == stage::queued) {
+                order.emplace_back(share_.position(found->second.account), id);
+            }
+        }
+        std::stable_sort(order.begin(), order.end(),
+                         [](const auto& a, const auto& b) { return a.first < b.first; });
+        queue.clear();
+        int failures = 0;
+        for (const auto& [position, id] : order) {
+            session& each = sessions_.at(id);
+            if (failures < failures_per_pass && try_place(each)) {
+                continue;
+            }
+            ++failures;
+            if (now_ - each.arrived >= hold_time(each)) {
+                give_up(each, placement_.ready_count(pool) == 0 ? error_code::no_upstream
+                                                                 : error_code::queue_full);
+                continue;
+            }
+            queue.push_back(id);
+        }
+    }
+}
+
+void dispatcher::give_up(session& what, error_code cause) {
+    end(what, 503, cause, come_back(what));
+}
+
+base::duration dispatcher::come_back(const session& /*what*/) const {
+    return come_back_base;
+}
+
+void dispatcher::on(const caller_left& what) {
+    const auto found = sessions_.find(what.id);
+    if (found != sessions_.end()) {
+        ++counts_["caller_left"];
+        forget(what.id);
+    }
+}
+
+void dispatcher::on(const answer_began& what) {
+    const auto found = sessions_.find(what.id);
+    if (found == sessions_.end() || found->second.attempt != what.attempt || found->second.began) {
+        return;
+    }
+    session& on = found->second;
+    on.began = true;
+    on.passed_on = true;
+    const pool* const kind = on.seen->find(on.pool);
+    if (kind != nullptr && kind->engine) {
+        placement_.began(on.target, on.pool, on.placed.pending, on.ahead, now_ - on.sent);
+        on.placed.pending = {};
+        queue_changed_ = true;
+    }
+}
+
+void dispatcher::release_placed(session& what) {
+    if (what.placed.running > 0) {
+        placement_.over(what.target, std::exchange(what.placed, {}));
+        queue_changed_ = true;
+    }
+}
+
+void dispatcher::on(const attempt_over& what) {
+    const auto found = sessions_.find(what.id);
+    if (found == sessions_.end() || found->second.attempt != what.attempt) {
+        return;
+    }
+    session& over = found->second;
+    release_placed(over);
+    over.tried.insert(over.target);
+    ++counts_[std::string(to_string(what.how))];
+    switch (what.how) {
+    case attempt_outcome::delivered:
+        if (what.status < 500) {
+            placement_.succeeded(over.target);
+        }
+        crashes_.completed(over.print, now_);
+        return forget(what.id);
+    case attempt_outcome::held:
+        crashes_.completed(over.print, now_);
+        if (!try_again(over, what)) {
+            output_.relay.emplace_back(release_answer{what.id});
+            forget(what.id);
+        }
+        return;
+    case attempt_outcome::refused:
+        placement_.avoid(over.target, full_pause, now_);
+        break;
+    case attempt_outcome::misdirected:
+        placement_.avoid(over.target, misdirected_pause, now_);
+        break;
+    case attempt_outcome::unsent:
+        --over.used;
+        placement_.connect_failed(over.target, now_);
+        confirm_crash(over.target);
+        break;
+    case attempt_outcome::lost:
+    case attempt_outcome::cut:
+        suspects_.push_back({over.target, over.print, now_});
+        placement_.failed(over.target);
+        break;
+    case attempt_outcome::garbled:
+        placement_.failed(over.target);
+        break;
+    }
+    base::log_event(log_level::info, "dispatcher", "attempt_failed",
+                    {{"request", over.trace},
+                     {"attempt", over.attempt},
+                     {"upstream", over.target.value()},
+                     {"how", to_string(what.how)},
+                     {"status", what.status},
+                     {"after_ms", ms(now_ - over.sent)}});
+    if (try_again(over, what)) {
+        return;
+    }
+    const bool not_run = what.how == attempt_outcome::refused || what.how == attempt_outcome::misdirected ||
+                         what.how == attempt_outcome::unsent;
+    if (not_run && over.used <= 1) {
+        give_up(over, error_code::upstream_refused_connection);
+    } else {
+        end(over, 502, error_code::upstream_closed_connection);
+    }
+}
+
+bool dispatcher::try_again(session& what, const attempt_over& how) {
+    const bool unsent = how.how == attempt_outcome::unsent;
+    const bool not_run = unsent || how.how == attempt_outcome::refused ||
+                         how.how == attempt_outcome::misdirected;
+    const bool may_run_again =
+        how.how == attempt_outcome::cut ? what.via->kind == route_kind::streaming && what.via->resumable
+                                        : what.via->repeatable();
+    if ((!not_run && !may_run_again) || what.used >= what.via->max_attempts ||
+        now_ + least_time_left >= what.deadline || crashes_.blocked(what.print, now_)) {
+        return false;
+    }
+    placement_request wanted;
+    wanted.pool = what.pool;
+    wanted.prompt = &what.prompt;
+    wanted.memory = what.memory;
+    wanted.excluded = &what.tried;
+    const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
+    if (!choice || (!unsent && !budget_.take(what.pool, now_))) {
+        return false;
+    }
+    send(what, *choice);
+    return true;
+}
+
+void dispatcher::end(session& what, int status, error_code cause,
+                     std::optional<base::duration> retry_after) {
+    ++counts_["ended/" + std::string(base::to_string(cause))];
+    base::log_event(log_level::info, "dispatcher", "ended",
+                    {{"request", what.trace},
+                     {"status", status},
+                     {"cause", base::to_string(cause)},
+                     {"attempts", what.attempt},
+                     {"waited_ms", ms(now_ - what.arrived)},
+                     {"account", what.account.value()},
+                     {"position", share_.position(what.account)},
+                     {"version", catalogue_ ? catalogue_->version.value() : 0}});
+    output_.relay.emplace_back(end_request{what.id, status, cause, retry_after});
+    forget(what.id);
+}
+
+void dispatcher::forget(session_id id) {
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end()) {
+        return;
+    }
+    release_placed(found->second);
+    deadlines_.erase({found->second.deadline, id});
+    sessions_.erase(found);
+}
+
+void dispatcher::on(const catalogue_read& what) {
+    if (!confirmed_ || what.asked > *confirmed_) {
+        confirmed_ = what.asked;
+    }
+    if (!what.changed || (catalogue_ && !(catalogue_->version < what.changed->version))) {
+        return;
+    }
+    catalogue_ = what.changed;
+    placement_.set_catalogue(catalogue_);
+    members_.put_in_force(catalogue_->version, now_);
+    output_.in_force = catalogue_;
+    base::log_event(log_level::info, "dispatcher", "configuration_in_force",
+                    {{"version", catalogue_->version.value()},
+                     {"routes", catalogue_->routes.size()},
+                     {"keys", catalogue_->keys.size()}});
+}
+
+void dispatcher::on(const roster_read& what) {
+    roster_.replace(what.entries, what.after_outage, now_);
+    apply_roster();
+}
+
+void dispatcher::on(const roster_changed& what) {
+    for (const upstream_change& change : what.changes) {
+        const upstream_entry* const known = roster_.find(change.id);
+        if (known != nullptr && (!change.entry || change.entry->born_ms != known->born_ms)) {
+            confirm_crash(change.id);
+        }
+    }
+    roster_.apply(what.changes, now_);
+    apply_roster();
+}
+
+void dispatcher::apply_roster() {
+    for (const auto& [id, state] : placement_.states()) {
+        const upstream_entry* const entry = roster_.find(id);
+        if (entry == nullptr || entry->phase != upstream_phase::ready) {
+            output_.relay.emplace_back(retire_upstream{id});
+        }
+    }
+    placement_.set_roster(roster_);
+    queue_changed_ = true;
+}
+
+void dispatcher::on(const peers_read& what) {
+    members_.list(what.peers, now_);
+}
+
+void dispatcher::on(const decision::message_received& what) {
+    const base::result<void> admitted = members_.receive(what.what, now_);
+    for (const decision::member_change& change : members_.take_changes()) {
+        base::log_event(log_level::info, "dispatcher", "member_changed",
+                        {{"vm", change.vm.value()}, {"kind", decision::to_string(change.kind)}});
+        if (change.kind != decision::member_change_kind::joined) {
+            placement_.drop_peer(change.vm);
+            share_.drop(change.vm);
+        }
+    }
+    if (!admitted) {
+        return;
+    }
+    const base::vm_id& from = what.what.header.sender;
+    if (const decision::work_report* const work = std::get_if<decision::work_report>(&what.what.body)) {
+        placement_.receive(from, work->upstreams, now_);
+        share_.receive(from, work->accounts, now_);
+    } else if (const decision::crash_report* const crash =
+                   std::get_if<decision::crash_report>(&what.what.body)) {
+        if (crashes_.report(*crash, now_)) {
+            spread(*crash);
+        }
+    }
+}
+
+/// The requests that were running at the upstream when its connections broke may have crashed it.
+void dispatcher::confirm_crash(const base::upstream_id& upstream) {
+    while (!suspects_.empty() && now_ - suspects_.front().at > suspicion_time) {
+        suspects_.pop_front();
+    }
+    for (const suspect& each : suspects_) {
+        const decision::crash_report found{each.print, each.upstream};
+        if (each.upstream == upstream && crashes_.report(found, now_)) {
+            spread(found);
+        }
+    }
+}
+
+void dispatcher::spread(const decision::crash_report& what) {
+    for (const base::vm_id& peer : members_.random_peers(3)) {
+        if (const std::optional<decision::endpoint> to = members_.control_address(peer)) {
+            output_.datagrams.push_back({*to, {header(), what}});
+        }
+    }
+}
+
+void dispatcher::send_report() {
+    std::vector<base::vm_id> peers = members_.live();
+    peers.erase(std::remove(peers.begin(), peers.end(), members_.self()), peers.end());
+    if (peers.size() > report_fanout) {
+        peers = members_.random_peers(report_fanout);
+    }
+    if (peers.empty()) {
+        return;
+    }
+    const decision::work_report told{placement_.own_work(), share_.own(now_)};
+    for (const base::vm_id& peer : peers) {
+        if (const std::optional<decision::endpoint> to = members_.control_address(peer)) {
+            output_.datagrams.push_back({*to, {header(), told}});
+        }
+    }
+}
+
+void dispatcher::send_messages() {
+    for (decision::outgoing& each : members_.take_outgoing()) {
+        if (const std::optional<decision::endpoint> to = members_.control_address(each.to)) {
+            output_.datagrams.push_back({*to, {header(), std::move(each.body)}});
+        }
+    }
+}
+
+decision::message_header dispatcher::header() {
+    decision::message_header made;
+    made.sender = members_.self();
+    made.life = members_.life();
+    made.sequence = ++sequence_;
+    made.in_force = members_.in_force();
+    made.confirmation_age = confirmed_ ? now_ - *confirmed_ : decision::never_confirmed;
+    return made;
+}
+
+std::size_t dispatcher::fleet_size() const {
+    return members_.knows_peers() ? members_.members().size() : assumed_fleet;
+}
+
+void dispatcher::on(const decision::drain_requested& /*what*/) {
+    if (!drain_began_) {
+        drain_began_ = now_;
+        members_.announce_leaving(now_);
+        base::log_event(log_level::info, "dispatcher", "draining", {{"sessions", sessions_.size()}});
+    }
+}
+
+void dispatcher::on(const decision::report_requested& what) {
+    what.reply->try_push(report(now_));
+}
+
+decision::state_report dispatcher::report(base::time_point now) {
+    decision::state_section requests{"requests", {}};
+    requests.values.push_back(number("in_progress", static_cast<double>(sessions_.size())));
+    for (const auto& [name, count] : counts_) {
+        requests.values.push_back(number(name, static_cast<double>(count)));
+    }
+    for (const auto& [pool, queue] : queues_) {
+        requests.values.push_back(number("queued/" + pool.value(), static_cast<double>(queue.size())));
+    }
+    decision::state_section view{"view", {}};
+    view.values.push_back(number("version", catalogue_ ? static_cast<double>(catalogue_->version.value()) : 0));
+    view.values.push_back(number("age_ms", confirmed_ ? ms(now - *confirmed_) : -1));
+    view.values.push_back(number("members", static_cast<double>(members_.live().size())));
+    view.values.push_back(number("upstreams", static_cast<double>(roster_.entries().size())));
+    view.values.push_back(number("pressure", share_.pressure()));
+    decision::state_section upstreams{"upstreams", {}};
+    for (const auto& [id, state] : placement_.states()) {
+        upstreams.values.push_back({id.value(), "{\"own\":" + std::to_string(state.own.running) +
+                                                    ",\"peers\":" + std::to_string(state.peers.running) +
+                                                    ",\"pending\":" +
+                                                    std::to_string(state.total().pending.value()) +
+                                                    ",\"slowness\":" + std::to_string(state.slowness) +
+                                                    ",\"failures\":" + std::to_string(state.failures) + '}'});
+    }
+    return {requests, view, upstreams};
+}
+
+} // namespace bluebell::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "base/clock.h"
+#include "decision/command.h"
+#include "decision/member.h"
+#include "decision/retry.h"
+#include "dispatch/event.h"
+#include "dispatch/placement.h"
+#include "dispatch/share.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bluebell::dispatch {
+
+struct dispatcher_settings {
+    decision::member_settings member;
+    base::data_centre_id data_centre;
+    /// Age of the last confirmation of the configuration up to which keys are accepted.
+    base::duration freshness = std::chrono::milliseconds(3500);
+    /// Retries of the whole fleet: a share of the requests and a fixed number, within
+    /// `decision::retry_budget::window`.
+    double retry_ratio = 0.1;
+    double retry_slack = 10;
+    base::duration report_interval = std::chrono::milliseconds(100);
+    /// How long a router that drains still takes requests, so that balancers notice.
+    base::duration drain_accept = std::chrono::milliseconds(3000);
+    /// How long a router that drains stays at least, and at most.
+    base::duration drain_least = std::chrono::milliseconds(3200);
+    base::duration drain_limit = std::chrono::milliseconds(7500);
+    std::uint64_t seed = 1;
+};
+
+/// Everything that the dispatcher decided, to be carried out by the workers.
+struct dispatcher_output {
+    std::vector<relay_command> relay;
+    std::vector<decision::datagram> datagrams;
+    /// Set when a new configuration came into force.
+    catalogue_ptr in_force;
+};
+
+/// All decisions on requests of one router: typed events in, typed commands out. No I/O, no clock.
+/// Thread safety: used by one thread. Time points of successive calls do not go back.
+class dispatcher {
+public:
+    dispatcher(const dispatcher_settings& settings, base::time_point now);
+
+    void handle(const event& what, base::time_point now);
+    /// Does what is due. To be called no later than `next_due`.
+    void tick(base::time_point now);
+    [[nodiscard]] base::time_point next_due() const;
+    [[nodiscard]] dispatcher_output take();
+
+    [[nodiscard]] bool ready(base::time_point now) const;
+    [[nodiscard]] bool draining() const { return drain_began_.has_value(); }
+    [[nodiscard]] bool drained(base::time_point now) const;
+    [[nodiscard]] decision::state_report report(base::time_point now);
+    [[nodiscard]] std::size_t sessions() const { return sessions_.size(); }
+
+private:
+    enum class stage { queued, sent, held };
+    struct session {
+        session_id id;
+        std::string trace;
+        catalogue_ptr seen;
+        const dispatch::route* via = nullptr;
+        base::pool_id pool;
+        base::client_account_id account;
+        std::string key;
+        prompt_facts prompt;
+        base::fingerprint print;
+        base::time_point arrived;
+        base::time_point deadline;
+        /// Time that the caller spent on earlier attempts.
+        base::duration spent{};
+        token_count memory;
+        base::cost price;
+        stage state = stage::queued;
+        std::uint32_t attempt = 0;
+        /// Upstreams that were handed the request.
+        std::uint32_t used = 0;
+        std::set<base::upstream_id> tried;
+        base::upstream_id target;
+        placed_work placed;
+        token_count ahead;
+        base::time_point sent;
+        bool began = false;
+        /// A part of the answer was passed on.
+        bool passed_on = false;
+    };
+    /// A request that was running when its connection broke, until it is clear whether the upstream crashed.
+    struct suspect {
+        base::upstream_id upstream;
+        base::fingerprint print;
+        base::time_point at;
+    };
+
+    void on(const request_read& what);
+    void on(const caller_left& what);
+    void on(const answer_began& what);
+    void on(const attempt_over& what);
+    void on(const catalogue_read& what);
+    void on(const roster_read& what);
+    void on(const roster_changed& what);
+    void on(const peers_read& what);
+    void on(const decision::message_received& what);
+    void on(const decision::drain_requested& what);
+    void on(const decision::report_requested& what);
+
+    [[nodiscard]] bool fresh(base::time_point now) const;
+    [[nodiscard]] std::optional<base::error_code> refusal(const request_read& what, const route& via) const;
+    base::duration earlier_attempts(const route& via, const std::optional<base::duration>& patience);
+    const base::pool_id& pick_pool(const route& via);
+    bool try_place(session& what);
+    [[nodiscard]] bool admit(const session& what, const placement_choice& choice) const;
+    [[nodiscard]] double standing(const session& what) const;
+    void send(session& what, const placement_choice& choice);
+    void enqueue(session& what);
+    void serve_queues();
+    void give_up(session& what, base::error_code cause);
+    [[nodiscard]] base::duration hold_time(const session& what) const;
+    [[nodiscard]] base::duration come_back(const session& what) const;
+    bool try_again(session& what, const attempt_over& how);
+    void end(session& what, int status, base::error_code cause,
+             std::optional<base::duration> retry_after = std::nullopt);
+    void forget(session_id id);
+    void release_placed(session& what);
+    void apply_roster();
+    void confirm_crash(const base::upstream_id& upstream);
+    void spread(const decision::crash_report& what);
+    void send_report();
+    void send_messages();
+    [[nodiscard]] decision::message_header header();
+    [[nodiscard]] std::size_t fleet_size() const;
+
+    const dispatcher_settings settings_;
+    base::time_point now_;
+    decision::member members_;
+    catalogue_ptr catalogue_;
+    std::optional<base::time_point> confirmed_;
+    roster roster_;
+    placement placement_;
+    fair_share share_;
+    decision::retry_budget budget_;
+    decision::crash_table crashes_;
+    std::unordered_map<session_id, session> sessions_;
+    std::set<std::pair<base::time_point, session_id>> deadlines_;
+    std::map<base::pool_id, std::vector<session_id>> queues_;
+    /// How often each patience was seen on a route; the usual one belongs to first attempts.
+    std::map<route_id, std::map<std::int64_t, std::uint32_t>> patience_;
+    std::deque<suspect> suspects_;
+    std::set<base::vm_id> known_routers_;
+    std::optional<base::time_point> drain_began_;
+    base::time_point next_report_;
+    base::time_point next_pass_;
+    bool queue_changed_ = false;
+    std::uint64_t sequence_ = 0;
+    std::mt19937_64 random_;
+    std::map<std::string, std::uint64_t> counts_;
+    dispatcher_output output_;
+};
+
+} // namespace bluebell::dispatch
--- /dev/null
+++ b/src/dispatch/event.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "base/ring.h"
+#include "decision/event.h"
+#include "dispatch/catalogue.h"
+#include "dispatch/roster.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bluebell::dispatch {
+
+/// Number of a request within one process.
+using session_id = base::identifier<struct session_tag, std::uint64_t>;
+/// Hash of a part of a prompt; equal parts have equal ids.
+using part_id = base::identifier<struct part_tag, std::uint64_t>;
+
+/// A part of a prompt that an engine may have kept from an earlier request.
+struct prompt_part {
+    part_id id;
+    token_count tokens;
+};
+
+/// The part of a model request that placement is decided on.
+struct prompt_facts {
+    std::vector<prompt_part> parts;
+    token_count prompt;
+    token_count max_output;
+    /// Estimate by the caller, rough.
+    std::optional<token_count> output_hint;
+};
+
+// What the dispatcher is told. Every event arrives over its bounded ring.
+
+/// A whole request was read from a caller.
+struct request_read {
+    session_id id;
+    /// Id that the caller gave the request, for logs.
+    std::string trace;
+    std::string host;
+    std::string path;
+    /// Key of the caller; empty if it sent none.
+    std::string key;
+    /// How long the caller waits; empty if it did not say.
+    std::optional<base::duration> patience;
+    prompt_facts prompt;
+    /// Hash of caller, path and body, by which a repeated request is recognised.
+    base::fingerprint print;
+    base::time_point arrived;
+};
+
+struct caller_left {
+    session_id id;
+};
+
+/// Load that an upstream reports beside an answer.
+struct load_report {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    base::slot_count slots;
+};
+
+enum class attempt_outcome {
+    delivered,  ///< the whole answer was passed on
+    held,       ///< a whole answer that reports a failure is held back by the relay
+    refused,    ///< the upstream states that it did not run the request
+    misdirected,///< another upstream has the address
+    unsent,     ///< no connection; no byte of the request was sent
+    lost,       ///< the connection ended before any of the answer was passed on
+    garbled,    ///< bytes that are no complete answer, none of which was passed on
+    cut,        ///< the answer ended early after a part of it was passed on
+};
+std::string_view to_string(attempt_outcome value);
+
+/// The first event of a stream, or the head of another answer, has arrived.
+struct answer_began {
+    session_id id;
+    std::uint32_t attempt = 0;
+    std::optional<load_report> load;
+};
+
+struct attempt_over {
+    session_id id;
+    std::uint32_t attempt = 0;
+    attempt_outcome how = attempt_outcome::delivered;
+    int status = 0;
+    std::optional<load_report> load;
+    /// Events of a stream that were passed on in this attempt.
+    std::uint32_t events = 0;
+};
+
+/// The configuration was read, or confirmed unchanged.
+struct catalogue_read {
+    /// Null if it is unchanged.
+    catalogue_ptr changed;
+    /// Just before the call that confirmed it was sent.
+    base::time_point asked;
+};
+
+struct roster_read {
+    std::vector<upstream_entry> entries;
+    bool after_outage = false;
+};
+
+struct roster_changed {
+    std::vector<upstream_change> changes;
+};
+
+/// Routers that entered themselves in the store.
+struct peers_read {
+    std::vector<decision::vm_entry> peers;
+};
+
+using event = std::variant<request_read, caller_left, answer_began, attempt_over, catalogue_read, roster_read,
+                           roster_changed, peers_read, decision::message_received, decision::drain_requested,
+                           decision::report_requested>;
+
+// What the dispatcher orders.
+
+struct send_request {
+    session_id id;
+    std::uint32_t attempt = 0;
+    upstream_entry target;
+    /// Empty if the route needs no key.
+    base::client_account_id account;
+    base::time_point deadline;
+    bool streaming = false;
+    /// Pass on whole events only, so that the stream can be continued elsewhere.
+    bool resumable = false;
+    /// The request must not run twice, so it is only sent on connections that are surely open.
+    bool repeatable = false;
+    /// Report an answer that is a failure and wait for a verdict before passing it on.
+    bool hold_failures = false;
+    /// Connections to the target that this router may have.
+    std::uint32_t max_connections = 1;
+};
+
+/// Passes the held answer on.
+struct release_answer {
+    session_id id;
+};
+
+/// Ends a request. If its answer has begun, the caller's connection is cut; otherwise the caller gets
+/// `status`. An attempt in progress is cancelled.
+struct end_request {
+    session_id id;
+    int status = 503;
+    base::error_code cause = base::error_code::internal_failure;
+    std::optional<base::duration> retry_after;
+};
+
+/// Closes the idle connections to an upstream that takes no more work.
+struct retire_upstream {
+    base::upstream_id id;
+};
+
+using relay_command = std::variant<send_request, release_answer, end_request, retire_upstream>;
+
+} // namespace bluebell::dispatch
--- /dev/null
+++ b/src/dispatch/placement.cpp
@@ -0,0 +1,299 @@
+#include "dispatch/placement.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bluebell::dispatch {
+namespace {
+
+/// A peer's report counts for this long; its requests end with its connections if it is gone.
+constexpr base::duration report_life = std::chrono::milliseconds(1500);
+/// Prefill throughput of an engine over its share of the throughput that the operator states, which counts
+/// the generation of answers as well.
+constexpr double prefill_over_throughput = 2.0;
+/// Weight of one observation in the smoothed slowness and failure share of an upstream.
+constexpr double slowness_gain = 0.15;
+constexpr double failure_gain = 0.1;
+constexpr double max_slowness = 20;
+constexpr double min_slowness = 0.7;
+/// Extra cost of an upstream that fails every request.
+constexpr base::duration failure_penalty = std::chrono::milliseconds(1500);
+/// Extra cost of another data centre: its delay, and the price of the bytes.
+constexpr base::duration remote_penalty = std::chrono::milliseconds(4);
+/// Random part of the cost, so that routers with the same view do not all choose the same upstream.
+constexpr base::duration spread = std::chrono::milliseconds(4);
+/// First pause after a failed connection; doubles up to the longest.
+constexpr base::duration first_pause = std::chrono::milliseconds(250);
+constexpr base::duration longest_pause = std::chrono::seconds(2);
+/// Share of the part of a prompt that an upstream is believed to keep because all routers send it there.
+constexpr double home_share = 0.9;
+/// Requests that a plain service may have waiting for each slot.
+constexpr double plain_overcommit = 3;
+/// Share of an engine's memory that requests may fill.
+constexpr double memory_share = 0.9;
+/// Connections to one upstream that a router may always have.
+constexpr std::uint32_t min_connections = 2;
+/// Share of an upstream's connections that all routers use together.
+constexpr double connection_use = 0.9;
+
+} // namespace
+
+void placement::set_catalogue(catalogue_ptr value) {
+    catalogue_ = std::move(value);
+    for (const auto& [id, kind] : catalogue_->pools) {
+        const std::size_t count = ready_count(id);
+        if (kind.engine && count > 0 && catalogue_->tokens_per_s > 0) {
+            models_[id].set_prior(prefill_over_throughput * catalogue_->tokens_per_s /
+                                  (1000.0 * static_cast<double>(count)));
+        }
+    }
+}
+
+void placement::set_roster(const roster& list) {
+    entries_ = list.entries();
+    ready_.clear();
+    for (const auto& [id, entry] : entries_) {
+        if (entry.phase == upstream_phase::ready) {
+            ready_[entry.pool].push_back(id);
+        }
+        upstream_state& state = states_[id];
+        if (state.born_ms != entry.born_ms) {
+            const placed_work own = state.own;
+            state = upstream_state{};
+            state.own = own;
+            state.born_ms = entry.born_ms;
+        }
+    }
+    for (auto state = states_.begin(); state != states_.end();) {
+        const bool gone = entries_.count(state->first) == 0 && state->second.own.running == 0;
+        state = gone ? states_.erase(state) : std::next(state);
+    }
+    if (catalogue_) {
+        set_catalogue(catalogue_);
+    }
+}
+
+void placement::receive(const base::vm_id& from, const std::vector<decision::upstream_work>& work,
+                        base::time_point now) {
+    std::map<base::upstream_id, peer_work>& known = peers_[from];
+    for (const decision::upstream_work& each : work) {
+        known[each.upstream] = {{each.running, token_count(static_cast<std::int64_t>(each.pending_tokens)),
+                                 token_count(static_cast<std::int64_t>(each.memory_tokens))},
+                                now};
+    }
+}
+
+void placement::drop_peer(const base::vm_id& peer) {
+    peers_.erase(peer);
+}
+
+void placement::update(base::time_point now) {
+    for (auto& [id, state] : states_) {
+        state.peers = {};
+    }
+    for (auto& [vm, reports] : peers_) {
+        for (auto report = reports.begin(); report != reports.end();) {
+            if (now - report->second.at > report_life) {
+                report = reports.erase(report);
+                continue;
+            }
+            const auto state = states_.find(report->first);
+            if (state != states_.end()) {
+                state->second.peers += report->second.work;
+            }
+            ++report;
+        }
+    }
+}
+
+std::vector<decision::upstream_work> placement::own_work() {
+    std::vector<decision::upstream_work> told;
+    std::set<base::upstream_id> named;
+    for (const auto& [id, state] : states_) {
+        if (state.own.running == 0 && reported_.count(id) == 0) {
+            continue;
+        }
+        told.push_back({id, state.own.running, static_cast<std::uint64_t>(state.own.pending.value()),
+                        static_cast<std::uint64_t>(state.own.memory.value())});
+        if (state.own.running > 0) {
+            named.insert(id);
+        }
+    }
+    reported_ = std::move(named);
+    return told;
+}
+
+std::size_t placement::ready_count(const base::pool_id& pool) const {
+    const auto found = ready_.find(pool);
+    return found == ready_.end() ? 0 : found->second.size();
+}
+
+/// The last part of a prompt is the request's own; the one before is what requests share.
+std::optional<base::upstream_id> placement::home(const placement_request& what) const {
+    const auto found = ready_.find(what.pool);
+    if (what.prompt == nullptr || what.prompt->parts.size() < 2 || found == ready_.end()) {
+        return std::nullopt;
+    }
+    const std::uint64_t shared = what.prompt->parts[what.prompt->parts.size() - 2].id.value();
+    std::optional<base::upstream_id> best;
+    std::uint64_t best_score = 0;
+    for (const base::upstream_id& id : found->second) {
+        const std::uint64_t score = base::stable_hash(id.value(), shared);
+        if (!best || score > best_score) {
+            best = id;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+token_count placement::uncached(const placement_request& what, const base::upstream_id& /*upstream*/,
+                                const upstream_state& state, base::time_point now) const {
+    if (what.prompt == nullptr) {
+        return {};
+    }
+    token_count kept;
+    for (const prompt_part& part : what.prompt->parts) {
+        if (!state.cache.holds(part.id, now)) {
+            break;
+        }
+        kept += part.tokens;
+    }
+    return std::max(what.prompt->prompt - kept, token_count(1));
+}
+
+bool placement::has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
+                         const placement_request& what) const {
+    const placed_work total = state.total();
+    const double slots = static_cast<double>(entry.slots.value());
+    if (kind == nullptr || !kind->engine) {
+        return static_cast<double>(total.running) < slots * plain_overcommit;
+    }
+    if (total.running > 0 && static_cast<double>(total.running) >= slots * what.room) {
+        return false;
+    }
+    const double memory = static_cast<double>(kind->engine->memory.value()) * memory_share * what.room;
+    return memory <= 0 || total.running == 0 ||
+           static_cast<double>((total.memory + what.memory).value()) <= memory;
+}
+
+std::optional<placement_choice> placement::choose(const placement_request& what, base::time_point now) {
+    const auto found = ready_.find(what.pool);
+    if (found == ready_.end() || !catalogue_) {
+        return std::nullopt;
+    }
+    const pool* const kind = catalogue_->find(what.pool);
+    const bool engine = kind != nullptr && kind->engine;
+    const prefill_model& model = models_[what.pool];
+    const std::optional<base::upstream_id> kept_at = engine ? home(what) : std::nullopt;
+    std::uniform_int_distribution<base::duration::rep> jitter(0, spread.count());
+    std::optional<placement_choice> best;
+    base::duration best_cost{};
+    for (const base::upstream_id& id : found->second) {
+        const upstream_entry& entry = entries_.at(id);
+        const upstream_state& state = states_[id];
+        if ((what.excluded != nullptr && what.excluded->count(id) != 0) || now < state.down_until ||
+            !has_room(entry, state, kind, what)) {
+            continue;
+        }
+        placement_choice choice;
+        choice.upstream = id;
+        if (engine) {
+            choice.uncached = uncached(what, id, state, now);
+            if (kept_at == id && what.prompt != nullptr) {
+                const token_count own = what.prompt->parts.back().tokens;
+                const token_count shared = std::max(what.prompt->prompt - own, token_count());
+                const token_count expected(
+                    static_cast<std::int64_t>(static_cast<double>(shared.value()) * (1 - home_share)));
+                choice.uncached = std::min(choice.uncached, own + expected);
+            }
+            choice.ahead = state.total().pending;
+            const double slow = state.slowness;
+            choice.first_event = std::chrono::duration_cast<base::duration>(
+                model.predict(choice.ahead + choice.uncached) * slow);
+            choice.wait = choice.first_event -
+                          std::chrono::duration_cast<base::duration>(model.predict(choice.uncached) * slow);
+        } else {
+            const double load = static_cast<double>(state.total().running) /
+                                std::max(1.0, static_cast<double>(entry.slots.value()));
+            choice.first_event = std::chrono::duration_cast<base::duration>(
+                std::chrono::milliseconds(50) * (load * state.slowness));
+            choice.wait = choice.first_event;
+        }
+        const base::duration cost =
+            choice.first_event + std::chrono::duration_cast<base::duration>(failure_penalty * state.failures) +
+            (entry.data_centre == here_ ? base::duration::zero() : remote_penalty) +
+            base::duration(jitter(random_));
+        if (!best || cost < best_cost) {
+            best = choice;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void placement::sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt,
+                     base::time_point now) {
+    upstream_state& state = states_[upstream];
+    state.own += work;
+    state.cache.touch(prompt.parts, now);
+}
+
+void placement::began(const base::upstream_id& upstream, const base::pool_id& pool, token_count pending,
+                      token_count ahead, base::duration elapsed) {
+    upstream_state& state = states_[upstream];
+    state.own.pending = std::max(state.own.pending - pending, token_count());
+    prefill_model& model = models_[pool];
+    const base::duration predicted = model.predict(ahead + pending);
+    const double ratio = static_cast<double>(elapsed.count()) /
+                         std::max(1.0, static_cast<double>(predicted.count()));
+    state.slowness = std::clamp(state.slowness + slowness_gain * (ratio - state.slowness), min_slowness,
+                                max_slowness);
+    model.observe(ahead + pending, elapsed);
+}
+
+void placement::over(const base::upstream_id& upstream, const placed_work& work) {
+    const auto found = states_.find(upstream);
+    if (found == states_.end()) {
+        return;
+    }
+    placed_work& own = found->second.own;
+    own.running -= std::min(own.running, work.running);
+    own.pending = std::max(own.pending - work.pending, token_count());
+    own.memory = std::max(own.memory - work.memory, token_count());
+}
+
+void placement::succeeded(const base::upstream_id& upstream) {
+    upstream_state& state = states_[upstream];
+    state.failures *= 1 - failure_gain;
+    state.connect_failures = 0;
+}
+
+void placement::failed(const base::upstream_id& upstream) {
+    upstream_state& state = states_[upstream];
+    state.failures += failure_gain * (1 - state.failures);
+}
+
+void placement::connect_failed(const base::upstream_id& upstream, base::time_point now) {
+    upstream_state& state = states_[upstream];
+    const std::uint32_t doublings = std::min(state.connect_failures++, 6U);
+    state.cache.clear();
+    avoid(upstream, std::min(first_pause * (1U << doublings), longest_pause), now);
+}
+
+void placement::avoid(const base::upstream_id& upstream, base::duration time, base::time_point now) {
+    upstream_state& state = states_[upstream];
+    state.down_until = std::max(state.down_until, now + time);
+}
+
+std::uint32_t placement::connection_share(const base::pool_id& pool, std::size_t routers) const {
+    const dispatch::pool* const kind = catalogue_ ? catalogue_->find(pool) : nullptr;
+    const double all = kind == nullptr ? 0 : static_cast<double>(kind->max_connections) * connection_use;
+    return std::max(min_connections,
+                    static_cast<std::uint32_t>(all / static_cast<double>(std::max<std::size_t>(routers, 1))));
+}
+
+} // namespace bluebell::dispatch
--- /dev/null
+++ b/src/dispatch/placement.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "decision/message.h"
+#include "dispatch/catalogue.h"
+#include "dispatch/engine.h"
+#include "dispatch/event.h"
+#include "dispatch/roster.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bluebell::dispatch {
+
+/// What placement needs to know of a request.
+struct placement_request {
+    base::pool_id pool;
+    const prompt_facts* prompt = nullptr;
+    /// Tokens that the request will hold in the memory of an engine.
+    token_count memory;
+    /// Upstreams that may not be used any more.
+    const std::set<base::upstream_id>* excluded = nullptr;
+    /// Share of the slots and of the memory that the request may take up; less than one leaves room for
+    /// others.
+    double room = 1;
+};
+
+struct placement_choice {
+    base::upstream_id upstream;
+    /// Prompt tokens that the engine will have to read.
+    token_count uncached;
+    /// Tokens that wait before it at the engine.
+    token_count ahead;
+    /// Predicted time from sending to the first event.
+    base::duration first_event{};
+    /// The part of it that other requests cause.
+    base::duration wait{};
+};
+
+/// Upstreams with the work that the fleet has placed on them, and the choice among them.
+/// Thread safety: used by one thread.
+class placement {
+public:
+    placement(base::data_centre_id here, std::uint64_t seed) : here_(std::move(here)), random_(seed) {}
+
+    void set_catalogue(catalogue_ptr value);
+    /// Takes over the list of upstreams; forgets what was known of those that are gone or have restarted.
+    void set_roster(const roster& list);
+    void receive(const base::vm_id& from, const std::vector<decision::upstream_work>& work,
+                 base::time_point now);
+    void drop_peer(const base::vm_id& peer);
+    /// Brings the sums of the peers' work up to date.
+    void update(base::time_point now);
+    [[nodiscard]] std::vector<decision::upstream_work> own_work();
+
+    /// The upstream with the earliest predicted first event; empty if none has room.
+    [[nodiscard]] std::optional<placement_choice> choose(const placement_request& what, base::time_point now);
+
+    void sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt,
+              base::time_point now);
+    /// The first event has arrived after `elapsed`.
+    void began(const base::upstream_id& upstream, const base::pool_id& pool, token_count pending,
+               token_count ahead, base::duration elapsed);
+    /// The attempt is over; `work` is what it still had placed.
+    void over(const base::upstream_id& upstream, const placed_work& work);
+    void succeeded(const base::upstream_id& upstream);
+    void failed(const base::upstream_id& upstream);
+    void connect_failed(const base::upstream_id& upstream, base::time_point now);
+    /// No work is sent to the upstream for `time`.
+    void avoid(const base::upstream_id& upstream, base::duration time, base::time_point now);
+
+    /// Connections to one upstream that this router may have, among `routers`.
+    [[nodiscard]] std::uint32_t connection_share(const base::pool_id& pool, std::size_t routers) const;
+    [[nodiscard]] const std::map<base::upstream_id, upstream_state>& states() const { return states_; }
+    [[nodiscard]] const prefill_model& model(const base::pool_id& pool) { return models_[pool]; }
+    [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
+
+private:
+    struct peer_work {
+        placed_work work;
+        base::time_point at;
+    };
+    struct member_upstream {
+        upstream_entry entry;
+        bool ready = false;
+    };
+    [[nodiscard]] token_count uncached(const placement_request& what, const base::upstream_id& upstream,
+                                       const upstream_state& state, base::time_point now) const;
+    [[nodiscard]] std::optional<base::upstream_id> home(const placement_request& what) const;
+    [[nodiscard]] bool has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
+                                const placement_request& what) const;
+
+    const base::data_centre_id here_;
+    std::mt19937_64 random_;
+    catalogue_ptr catalogue_;
+    std::map<base::upstream_id, upstream_entry> entries_;
+    std::map<base::pool_id, std::vector<base::upstream_id>> ready_;
+    std::map<base::upstream_id, upstream_state> states_;
+    std::map<base::vm_id, std::map<base::upstream_id, peer_work>> peers_;
+    std::map<base::pool_id, prefill_model> models_;
+    /// Upstreams that the last report named, so that their end is reported too.
+    std::set<base::upstream_id> reported_;
+};
+
+} // namespace bluebell::dispatch
--- /dev/null
+++ b/src/dispatch/share.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "base/unit.h"
+#include "decision/message.h"
+
+#include <map>
+#include <vector>
+
+namespace bluebell::dispatch {
+
+/// Max-min fair shares of the engines' throughput among client accounts over the whole fleet.
+///
+/// Every router counts what it served and was asked for, with exponential forgetting, and tells the others.
+/// The level is the service at which capacity is used up if every account gets the lesser of what it asks
+/// and the level. Accounts above it have to leave room for the others.
+/// Thread safety: used by one thread.
+class fair_share {
+public:
+    /// Time constant of forgetting; half of the window over which the operator judges fairness.
+    static constexpr base::duration memory = std::chrono::seconds(2);
+    /// A peer's report is dropped after this silence.
+    static constexpr base::duration report_life = std::chrono::seconds(2);
+
+    void ask(const base::client_account_id& account, base::cost amount, base::time_point now);
+    void serve(const base::client_account_id& account, base::cost amount, base::time_point now);
+    void receive(const base::vm_id& from, const std::vector<decision::account_work>& accounts,
+                 base::time_point now);
+    void drop(const base::vm_id& peer) { peers_.erase(peer); }
+    /// This router's part, for the peers.
+    [[nodiscard]] std::vector<decision::account_work> own(base::time_point now);
+
+    /// Brings the level up to date; to be called every few ten milliseconds.
+    void update(base::time_point now);
+    /// Fleet service of the account over its fair level: below one it is owed service, above it is ahead.
+    /// Zero while capacity suffices for all.
+    [[nodiscard]] double position(const base::client_account_id& account) const;
+    /// What was asked over what was served; above one the engines are overloaded.
+    [[nodiscard]] double pressure() const { return pressure_; }
+
+private:
+    struct rate {
+        double served = 0;
+        double asked = 0;
+        base::time_point at;
+    };
+    struct peer_report {
+        std::map<base::client_account_id, rate> accounts;
+        base::time_point at;
+    };
+    static void decay(rate& value, base::time_point now);
+    rate& touch(const base::client_account_id& account, base::time_point now);
+
+    std::map<base::client_account_id, rate> own_;
+    std::map<base::vm_id, peer_report> peers_;
+    /// Sums over the fleet at the last update.
+    std::map<base::client_account_id, rate> fleet_;
+    double level_ = 0;
+    double pressure_ = 1;
+};
+
+} // namespace bluebell::dispatch
--- /dev/null
+++ b/src/dispatch/worker.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/ring.h"
+#include "base/snapshot.h"
+#include "base/worker.h"
+#include "dispatch/dispatcher.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bluebell::dispatch {
+
+/// What other threads may read without asking the dispatcher.
+struct router_state {
+    /// Null before the first configuration.
+    catalogue_ptr catalogue;
+    bool ready = false;
+    bool draining = false;
+    bool drained = false;
+};
+
+/// The rings that join the dispatcher with the workers that carry out its decisions.
+struct dispatch_links {
+    base::ring<event>& events;
+    base::ring<relay_command>& relay;
+    base::ring<decision::datagram>& datagrams;
+    base::snapshot<router_state>& state;
+};
+
+/// The thread that owns the decisions on requests. After a restart it begins with empty state.
+/// Thread safety: `run` on the thread of the worker.
+class dispatch_worker final : public base::worker {
+public:
+    using settings_source = std::function<dispatcher_settings()>;
+
+    /// Pre-condition: what the links refer to and `time` outlive the worker.
+    dispatch_worker(dispatch_links links, settings_source settings, const base::clock& time);
+
+    [[nodiscard]] std::string name() const override { return "dispatcher"; }
+    void run(base::stop_signal& stop) override;
+    void interrupt() override { links_.events.close(); }
+
+private:
+    void carry_out(dispatcher& decisions);
+    void publish(const dispatcher& decisions, base::time_point now);
+
+    dispatch_links links_;
+    settings_source settings_;
+    const base::clock& clock_;
+    router_state published_;
+};
+
+} // namespace bluebell::dispatch
--- a/src/edge/answer.cpp
+++ b/src/edge/answer.cpp
@@ -27,6 +27,8 @@
     case error_code::key_in_progress:
     case error_code::key_already_ran:
         return 409;
+    case error_code::header_too_large:
+        return 431;
     case error_code::body_too_large:
         return 413;
     case error_code::invalid_field:
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -608,6 +608,42 @@
     take(in, body.upstream);
 }
 
+void put_rest(output& out, const decision::upstream_work& work) {
+    put(out, std::uint64_t{work.running});
+    put(out, work.pending_tokens);
+    put(out, work.memory_tokens);
+}
+
+void take_rest(input& in, decision::upstream_work& work) {
+    work.running = take_bounded<std::uint32_t>(in);
+    take(in, work.pending_tokens);
+    take(in, work.memory_tokens);
+}
+
+void put(output& out, const decision::work_report& body) {
+    put_list(out, body.upstreams, [&out](const decision::upstream_work& work) {
+        put(out, work.upstream);
+        put_rest(out, work);
+    });
+    put_list(out, body.accounts, [&out](const decision::account_work& work) {
+        put(out, work.account);
+        put(out, work.served);
+        put(out, work.asked);
+    });
+}
+
+void take(input& in, decision::work_report& body) {
+    take_list(in, body.upstreams, max_list, [&in](decision::upstream_work& work) {
+        take(in, work.upstream);
+        take_rest(in, work);
+    });
+    take_list(in, body.accounts, max_list, [&in](decision::account_work& work) {
+        take(in, work.account);
+        take(in, work.served);
+        take(in, work.asked);
+    });
+}
+
 // Header.
 
 using milliseconds = std::chrono::milliseconds;
@@ -736,6 +772,12 @@
     }
     bool operator()(decision::usage& body) const { return halve_entries(body); }
     bool operator()(decision::usage_total& body) const { return halve_entries(body); }
+    bool operator()(decision::work_report& body) const {
+        decision::work_report rest{take_half(body.upstreams), take_half(body.accounts)};
+        const bool divided = !rest.upstreams.empty() || !rest.accounts.empty();
+        rest_ = std::move(rest);
+        return divided;
+    }
     template <typename Other>
     bool operator()(Other& /*body*/) const {
         return false;
@@ -760,7 +802,7 @@
 std::string_view message_kind_name(std::size_t kind) {
     constexpr std::array<std::string_view, message_kind_count> names{
         "ping",        "ack",   "ping_request", "bid",    "grant",      "release",     "usage",
-        "usage_total", "claim", "claim_result", "settle", "settle_ack", "crash_report"};
+        "usage_total", "claim", "claim_result", "settle", "settle_ack", "crash_report", "work_report"};
     return names.at(kind);
 }
 
--- a/src/fleet/receiver.cpp
+++ b/src/fleet/receiver.cpp
@@ -10,13 +10,13 @@
 namespace {
 
 /// Longest time from the request to stop until the worker notices it.
-constexpr base::duration receive_wait = std::chrono::milliseconds(100);
+constexpr base::duration receive_wait = std::chrono::milliseconds(500);
 
 } // namespace
 
-receiver::receiver(decision::endpoint local, const codec& format, base::ring<decision::event>& events,
+receiver::receiver(decision::endpoint local, const codec& format, std::unique_ptr<message_sink> sink,
                    traffic& counts)
-    : local_(std::move(local)), codec_(format), events_(events), counts_(counts) {}
+    : local_(std::move(local)), codec_(format), sink_(std::move(sink)), counts_(counts) {}
 
 void receiver::run(base::stop_signal& stop) {
     udp_socket socket(local_);
@@ -43,8 +43,7 @@
         return;
     }
     counts_.add(decoded->body.index(), bytes.size());
-    if (events_.try_push(decision::message_received{std::move(*decoded), from}) !=
-        base::push_result::pushed) {
+    if (!sink_->offer({std::move(*decoded), from})) {
         counts_.add_dropped();
     }
 }
--- a/src/fleet/receiver.h
+++ b/src/fleet/receiver.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "base/ring.h"
 #include "base/worker.h"
 #include "decision/event.h"
 #include "fleet/codec.h"
+#include "fleet/sink.h"
 #include "fleet/traffic.h"
 
+#include <memory>
 #include <string>
 
 namespace bluebell::fleet {
@@ -14,8 +15,8 @@
 /// Thread safety: `run` is called by one thread; `interrupt` by any.
 class receiver final : public base::worker {
 public:
-    /// Pre-condition: `events` and `counts` outlive the worker. `local` is an IPv4 address and port.
-    receiver(decision::endpoint local, const codec& format, base::ring<decision::event>& events,
+    /// Pre-condition: `counts` outlives the worker. `local` is an IPv4 address and port.
+    receiver(decision::endpoint local, const codec& format, std::unique_ptr<message_sink> sink,
              traffic& counts);
 
     [[nodiscard]] std::string name() const override { return "receiver"; }
@@ -27,7 +28,7 @@
 
     const decision::endpoint local_;
     const codec codec_;
-    base::ring<decision::event>& events_;
+    const std::unique_ptr<message_sink> sink_;
     traffic& counts_;
 };
 
--- /dev/null
+++ b/src/http/parser.cpp
@@ -0,0 +1,244 @@
+#include "http/parser.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+namespace bluebell::http {
+
+bool equal_ignoring_case(std::string_view a, std::string_view b) {
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return std::tolower(static_cast<unsigned char>(x)) ==
+                      std::tolower(static_cast<unsigned char>(y));
+           });
+}
+
+const std::string* find_field(const std::vector<field>& fields, std::string_view name) {
+    const auto found = std::find_if(fields.begin(), fields.end(), [&](const field& each) {
+        return equal_ignoring_case(each.name, name);
+    });
+    return found == fields.end() ? nullptr : &found->value;
+}
+
+const std::string* request_head::find(std::string_view name) const {
+    return find_field(fields, name);
+}
+
+const std::string* response_head::find(std::string_view name) const {
+    return find_field(fields, name);
+}
+
+bool hop_by_hop(std::string_view name) {
+    static constexpr std::array<std::string_view, 11> names{
+        "connection", "keep-alive", "proxy-connection",  "proxy-authenticate", "proxy-authorization", "te",
+        "trailer",    "upgrade",    "transfer-encoding", "content-length",     "expect"};
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view each) { return equal_ignoring_case(each, name); });
+}
+
+std::string_view reason(int status) {
+    switch (status) {
+#define BLUEBELL_REASON(number, name, text)                                                                  \
+    case number:                                                                                             \
+        return #text;
+        HTTP_STATUS_MAP(BLUEBELL_REASON)
+#undef BLUEBELL_REASON
+    default:
+        return "Unknown";
+    }
+}
+
+/// Joins the C callbacks of the library with the parser object.
+struct parser_callbacks {
+    static message_parser& self(http_parser* parser) { return *static_cast<message_parser*>(parser->data); }
+
+    static int begin(http_parser* parser) {
+        self(parser).started_ = true;
+        return 0;
+    }
+    static int target(http_parser* parser, const char* at, std::size_t size) {
+        if (!self(parser).count_head(size)) {
+            return 1;
+        }
+        self(parser).on_target({at, size});
+        return 0;
+    }
+    static int name(http_parser* parser, const char* at, std::size_t size) {
+        message_parser& to = self(parser);
+        if (to.head_complete_) {
+            return 0; // trailers are not passed on
+        }
+        if (!to.count_head(size)) {
+            return 1;
+        }
+        if (to.value_seen_) {
+            to.fields_.emplace_back();
+            to.value_seen_ = false;
+        }
+        to.fields_.back().name.append(at, size);
+        return 0;
+    }
+    static int value(http_parser* parser, const char* at, std::size_t size) {
+        message_parser& to = self(parser);
+        if (to.head_complete_ || to.fields_.empty()) {
+            return 0;
+        }
+        if (!to.count_head(size)) {
+            return 1;
+        }
+        to.value_seen_ = true;
+        to.fields_.back().value.append(at, size);
+        return 0;
+    }
+    static int head(http_parser* parser) {
+        self(parser).head_complete_ = true;
+        return self(parser).on_head();
+    }
+    static int body(http_parser* parser, const char* at, std::size_t size) {
+        return self(parser).on_body({at, size});
+    }
+    static int complete(http_parser* parser) {
+        self(parser).complete_ = true;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+    static const http_parser_settings& table() {
+        static const http_parser_settings settings = [] {
+            http_parser_settings made{};
+            http_parser_settings_init(&made);
+            made.on_message_begin = begin;
+            made.on_url = target;
+            made.on_header_field = name;
+            made.on_header_value = value;
+            made.on_headers_complete = head;
+            made.on_body = body;
+            made.on_message_complete = complete;
+            return made;
+        }();
+        return settings;
+    }
+};
+
+message_parser::message_parser(http_parser_type type, message_limits limits) : limits_(limits), type_(type) {
+    reset();
+}
+
+void message_parser::reset() {
+    http_parser_init(&parser_, type_);
+    parser_.data = this;
+    fields_.clear();
+    started_ = false;
+    head_complete_ = false;
+    complete_ = false;
+    head_too_large_ = false;
+    head_bytes_ = 0;
+    value_seen_ = true;
+}
+
+std::size_t message_parser::execute(std::string_view bytes) {
+    return http_parser_execute(&parser_, &parser_callbacks::table(), bytes.data(), bytes.size());
+}
+
+void message_parser::on_target(std::string_view /*bytes*/) {}
+
+bool message_parser::count_head(std::size_t bytes) {
+    head_bytes_ += bytes;
+    head_too_large_ = head_bytes_ > limits_.head_bytes;
+    return !head_too_large_;
+}
+
+base::result<std::size_t> request_parser::feed(std::string_view bytes) {
+    const std::size_t used = execute(bytes);
+    const http_errno fault = HTTP_PARSER_ERRNO(&parser_);
+    if (head_too_large_ || fault == HPE_HEADER_OVERFLOW) {
+        return base::failure(base::error_code::header_too_large, "", "the head exceeds the limit");
+    }
+    if (body_too_large_) {
+        return base::failure(base::error_code::body_too_large, "", "the body exceeds the limit");
+    }
+    if (fault != HPE_OK && fault != HPE_PAUSED) {
+        return base::failure(base::error_code::malformed_request, "", http_errno_description(fault));
+    }
+    if (parser_.upgrade != 0) {
+        return base::failure(base::error_code::malformed_request, "", "upgrades are not supported");
+    }
+    return used;
+}
+
+void request_parser::next(message_limits limits) {
+    limits_ = limits;
+    reset();
+    target_.clear();
+    body_.clear();
+    body_too_large_ = false;
+}
+
+request_head request_parser::take_head() {
+    request_head head;
+    head.method = http_method_str(static_cast<http_method>(parser_.method));
+    head.target = std::move(target_);
+    head.fields = std::move(fields_);
+    head.keep_alive = http_should_keep_alive(&parser_) != 0;
+    return head;
+}
+
+bool request_parser::expects_continue() const {
+    const std::string* const expected = head_complete_ && !complete_ ? find_field(fields_, "Expect") : nullptr;
+    return expected != nullptr && equal_ignoring_case(*expected, "100-continue");
+}
+
+int request_parser::on_head() {
+    const bool sized = (parser_.flags & F_CONTENTLENGTH) != 0;
+    body_too_large_ = sized && parser_.content_length > limits_.body_bytes;
+    return body_too_large_ ? -1 : 0;
+}
+
+int request_parser::on_body(std::string_view bytes) {
+    body_too_large_ = body_.size() + bytes.size() > limits_.body_bytes;
+    if (body_too_large_) {
+        return 1;
+    }
+    body_.append(bytes);
+    return 0;
+}
+
+void response_parser::next(bool expect_body) {
+    reset();
+    head_ = {};
+    expect_body_ = expect_body;
+}
+
+base::result<std::size_t> response_parser::feed(std::string_view bytes, std::string& body) {
+    body_ = &body;
+    const std::size_t used = execute(bytes);
+    body_ = nullptr;
+    const http_errno fault = HTTP_PARSER_ERRNO(&parser_);
+    if (fault != HPE_OK && fault != HPE_PAUSED) {
+        return base::failure(base::error_code::upstream_malformed_answer, "", http_errno_description(fault));
+    }
+    return used;
+}
+
+void response_parser::finish() {
+    if (head_complete_ && !complete_) {
+        execute({});
+    }
+}
+
+int response_parser::on_head() {
+    head_.status = static_cast<int>(parser_.status_code);
+    head_.fields = std::move(fields_);
+    head_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    if ((parser_.flags & F_CONTENTLENGTH) != 0) {
+        head_.length = parser_.content_length;
+    }
+    return expect_body_ ? 0 : 1;
+}
+
+int response_parser::on_body(std::string_view bytes) {
+    body_->append(bytes);
+    return 0;
+}
+
+} // namespace bluebell::http
--- /dev/null
+++ b/src/http/socket.cpp
@@ -0,0 +1,149 @@
+#include "http/socket.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace bluebell::http {
+namespace {
+
+/// Connections that may wait to be accepted; a herd of callers arrives at once after an outage.
+constexpr int backlog = 1024;
+
+template <typename Value>
+void set_option(const descriptor& socket, int level, int name, Value value) {
+    // A missing option only makes a dead peer noticed later.
+    static_cast<void>(setsockopt(socket.number(), level, name, &value, sizeof value));
+}
+
+base::error describe(base::error_code code, const decision::endpoint& place) {
+    return {code, decision::to_string(place), std::strerror(errno)};
+}
+
+bool fill(const decision::endpoint& from, sockaddr_in& to) {
+    to = {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(from.port);
+    return inet_pton(AF_INET, from.address.c_str(), &to.sin_addr) == 1;
+}
+
+} // namespace
+
+descriptor::descriptor(descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+
+descriptor& descriptor::operator=(descriptor&& other) noexcept {
+    if (this != &other) {
+        close();
+        fd_ = std::exchange(other.fd_, -1);
+    }
+    return *this;
+}
+
+void descriptor::close() {
+    if (fd_ >= 0) {
+        ::close(std::exchange(fd_, -1));
+    }
+}
+
+base::result<descriptor> listen_on(const decision::endpoint& local) {
+    sockaddr_in address{};
+    if (!fill(local, address)) {
+        return base::failure(base::error_code::socket_failure, local.address, "not an IPv4 address");
+    }
+    descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket.open()) {
+        return tl::unexpected<base::error>(describe(base::error_code::socket_failure, local));
+    }
+    set_option(socket, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (bind(socket.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+        listen(socket.number(), backlog) != 0) {
+        return tl::unexpected<base::error>(describe(
+            errno == EADDRINUSE ? base::error_code::address_in_use : base::error_code::socket_failure, local));
+    }
+    return socket;
+}
+
+base::result<descriptor> accept_from(const descriptor& listener) {
+    descriptor socket(accept4(listener.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (socket.open()) {
+        set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+        return socket;
+    }
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        return base::failure(base::error_code::socket_failure, "accept", std::strerror(errno));
+    }
+    return descriptor();
+}
+
+base::result<descriptor> connect_to(const decision::endpoint& to) {
+    sockaddr_in address{};
+    if (!fill(to, address)) {
+        return base::failure(base::error_code::socket_failure, to.address, "not an IPv4 address");
+    }
+    descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket.open()) {
+        return tl::unexpected<base::error>(describe(base::error_code::socket_failure, to));
+    }
+    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    if (connect(socket.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 &&
+        errno != EINPROGRESS) {
+        return tl::unexpected<base::error>(describe(base::error_code::socket_failure, to));
+    }
+    return socket;
+}
+
+bool connected(const descriptor& socket) {
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    return getsockopt(socket.number(), SOL_SOCKET, SO_ERROR, &fault, &size) == 0 && fault == 0;
+}
+
+void watch_liveness(const descriptor& socket, const liveness_limits& limits) {
+    const auto seconds = [](base::duration value) {
+        return static_cast<int>(std::chrono::ceil<std::chrono::seconds>(value).count());
+    };
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(limits.unacknowledged).count();
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(ms));
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, seconds(limits.probe_after));
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, seconds(limits.probe_interval));
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, limits.probes);
+}
+
+transfer read_some(const descriptor& socket, char* to, std::size_t size) {
+    const ssize_t count = recv(socket.number(), to, size, 0);
+    if (count > 0) {
+        return {static_cast<std::size_t>(count), false, false};
+    }
+    if (count == 0) {
+        return {0, true, false};
+    }
+    const bool wait = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return {0, !wait, !wait};
+}
+
+transfer write_some(const descriptor& socket, std::string_view bytes) {
+    const ssize_t count = send(socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (count >= 0) {
+        return {static_cast<std::size_t>(count), false, false};
+    }
+    const bool wait = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return {0, !wait, !wait};
+}
+
+void shutdown_write(const descriptor& socket) {
+    shutdown(socket.number(), SHUT_WR);
+}
+
+bool quiet(const descriptor& socket) {
+    char byte = 0;
+    const ssize_t count = recv(socket.number(), &byte, 1, MSG_PEEK);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace bluebell::http
--- /dev/null
+++ b/src/relay/ops.cpp
@@ -0,0 +1,47 @@
+#include "relay/ops.h"
+
+#include <optional>
+#include <utility>
+
+namespace bluebell::relay {
+namespace {
+
+constexpr std::size_t max_connections = 64;
+
+} // namespace
+
+ops::ops(ops_settings settings, const base::snapshot<dispatch::router_state>& state, text_source metrics,
+         text_source dump, const base::clock& time)
+    : settings_(std::move(settings)), state_(state), metrics_(std::move(metrics)), dump_(std::move(dump)),
+      clock_(time), loop_{poller_, timers_, clock_} {}
+
+ops::~ops() = default;
+
+void ops::run(base::stop_signal& stop) {
+    server listener(settings_.listen, max_connections, loop_, *this);
+    while (!stop.requested()) {
+        const std::optional<base::time_point> next = timers_.next();
+        poller_.wait(next ? *next - clock_.now() : base::duration::max());
+        timers_.run(clock_.now());
+        listener.reap();
+    }
+}
+
+void ops::on_request(caller& from, http::request_head head, std::string /*body*/) {
+    const std::string path = head.target.substr(0, head.target.find('?'));
+    const std::vector<http::field> text{{"Content-Type", "text/plain"}};
+    if (path == settings_.ready_path) {
+        const std::shared_ptr<const dispatch::router_state> now = state_.current();
+        const bool ready = now && now->ready;
+        return from.answer(ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n");
+    }
+    if (path == "/metrics") {
+        return from.answer(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_());
+    }
+    if (path == "/dump") {
+        return from.answer(200, {{"Content-Type", "application/json"}}, dump_());
+    }
+    from.answer(404, text, "not found\n");
+}
+
+} // namespace bluebell::relay
--- /dev/null
+++ b/src/relay/server.cpp
@@ -0,0 +1,82 @@
+#include "relay/server.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <sys/epoll.h>
+#include <utility>
+
+namespace bluebell::relay {
+namespace {
+
+/// Connections accepted before other events get their turn.
+constexpr int accepts_per_event = 32;
+/// Pause of accepting when no descriptor is left.
+constexpr base::duration accept_pause = std::chrono::milliseconds(50);
+
+} // namespace
+
+server::server(const decision::endpoint& local, std::size_t max_callers, const loop_context& loop,
+               request_handler& handler)
+    : max_callers_(max_callers), loop_(loop), handler_(handler) {
+    base::result<http::descriptor> listener = http::listen_on(local);
+    if (!listener) {
+        throw base::fatal_error(listener.error());
+    }
+    listener_ = std::move(*listener);
+    loop_.events.add(listener_, EPOLLIN, *this);
+}
+
+server::~server() {
+    close();
+}
+
+void server::close() {
+    loop_.timers.disarm(*this);
+    if (listener_.open()) {
+        loop_.events.remove(listener_);
+        listener_.close();
+    }
+}
+
+void server::on_ready(std::uint32_t /*events*/) {
+    for (int i = 0; i < accepts_per_event && listener_.open(); ++i) {
+        base::result<http::descriptor> socket =
+            callers_.size() < max_callers_
+                ? http::accept_from(listener_)
+                : base::failure(base::error_code::socket_failure, "accept", "too many connections");
+        if (!socket) {
+            base::log_event(base::log_level::warning, "server", "accept_paused",
+                            {{"callers", callers_.size()}, {"cause", socket.error().text}});
+            loop_.events.modify(listener_, 0, *this);
+            paused_ = true;
+            loop_.timers.arm(*this, loop_.time.now() + accept_pause);
+            return;
+        }
+        if (!socket->open()) {
+            return;
+        }
+        callers_.push_back(std::make_unique<caller>(std::move(*socket), loop_, handler_));
+    }
+}
+
+void server::on_time(base::time_point /*now*/) {
+    if (paused_ && listener_.open()) {
+        paused_ = false;
+        loop_.events.modify(listener_, EPOLLIN, *this);
+    }
+}
+
+void server::reap() {
+    callers_.erase(std::remove_if(callers_.begin(), callers_.end(),
+                                  [](const std::unique_ptr<caller>& each) { return each->gone(); }),
+                   callers_.end());
+}
+
+void server::close_idle() {
+    for (const std::unique_ptr<caller>& each : callers_) {
+        each->close_if_idle();
+    }
+}
+
+} // namespace bluebell::relay
--- /dev/null
+++ b/src/relay/server.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "decision/config.h"
+#include "relay/caller.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace bluebell::relay {
+
+/// Accepts callers and owns their connections.
+/// Thread safety: used by the thread of its loop.
+class server final : public ready_handler, public timed {
+public:
+    /// Throws `base::fatal_error` if it cannot listen. Pre-condition: the references outlive the server.
+    server(const decision::endpoint& local, std::size_t max_callers, const loop_context& loop,
+           request_handler& handler);
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    server(server&&) = delete;
+    server& operator=(server&&) = delete;
+    ~server() override;
+
+    void on_ready(std::uint32_t events) override;
+    void on_time(base::time_point now) override;
+
+    /// Destroys callers that are gone. To be called between two waits of the loop.
+    void reap();
+    /// Closes connections on which no request is in progress.
+    void close_idle();
+    /// Stops accepting.
+    void close();
+    [[nodiscard]] std::size_t callers() const { return callers_.size(); }
+
+private:
+    http::descriptor listener_;
+    const std::size_t max_callers_;
+    const loop_context& loop_;
+    request_handler& handler_;
+    std::vector<std::unique_ptr<caller>> callers_;
+    bool paused_ = false;
+};
+
+} // namespace bluebell::relay
--- a/src/root/daemon.cpp
+++ b/src/root/daemon.cpp
@@ -4,10 +4,10 @@
 #include "edge/callers.h"
 #include "fleet/receiver.h"
 #include "fleet/sender.h"
-#include "platform/http.h"
-#include "platform/journal.h"
-#include "platform/release.h"
-#include "platform/vms.h"
+#include "store/http.h"
+#include "store/journal.h"
+#include "store/release.h"
+#include "store/vms.h"
 #include "upstream/load.h"
 #include "upstream/transport.h"
 
@@ -87,7 +87,7 @@
       events_(event_capacity), transport_(static_cast<std::size_t>(settings_.requests) * 2),
       datagrams_(datagram_capacity), journal_(journal_capacity), release_(release_capacity),
       load_(load_capacity), root_("root", base::restart_strategy::rest_for_one, root_limit, clock_) {
-    add_platform();
+    add_store();
     add_fleet();
     add_decision();
     add_upstream();
@@ -103,26 +103,26 @@
                                               clock_);
 }
 
-void daemon::add_platform() {
+void daemon::add_store() {
     const decision::endpoint store = to_endpoint(settings_.store);
-    platform::call_limits limits;
+    store::call_limits limits;
     limits.answer = settings_.store_timeout;
-    std::unique_ptr<base::supervisor> node = subtree("platform");
-    node->add(std::make_unique<platform::release_worker>(
-        std::make_unique<platform::http_object_store>(store, limits),
-        std::make_unique<platform::http_config_peer>(limits), release_, events_, clock_, system_seed(),
-        platform::release_timing{}));
-    node->add(std::make_unique<platform::vms_worker>(std::make_unique<platform::http_vm_list>(store, limits),
+    std::unique_ptr<base::supervisor> node = subtree("store");
+    node->add(std::make_unique<store::release_worker>(
+        std::make_unique<store::http_object_store>(store, limits),
+        std::make_unique<store::http_config_peer>(limits), release_, events_, clock_, system_seed(),
+        store::release_timing{}));
+    node->add(std::make_unique<store::vms_worker>(std::make_unique<store::http_vm_list>(store, limits),
                                                      events_, system_seed()));
-    node->add(std::make_unique<platform::journal>(
-        std::make_unique<platform::http_object_store>(store, limits), clock_, platform::journal_settings{},
+    node->add(std::make_unique<store::journal>(
+        std::make_unique<store::http_object_store>(store, limits), clock_, store::journal_settings{},
         system_seed(), journal_, events_));
     root_.add(std::move(node));
 }
 
 void daemon::add_fleet() {
     std::unique_ptr<base::supervisor> node = subtree("fleet");
-    node->add(std::make_unique<fleet::receiver>(to_endpoint(settings_.control), codec_, events_, received_));
+    node->add(std::make_unique<fleet::receiver>(to_endpoint(settings_.control), codec_, fleet::sink_to(events_), received_));
     node->add(std::make_unique<fleet::sender>(codec_, datagrams_, sent_));
     root_.add(std::move(node));
 }
--- a/src/root/daemon.h
+++ b/src/root/daemon.h
@@ -11,6 +11,7 @@
 #include "fleet/codec.h"
 #include "fleet/traffic.h"
 #include "root/options.h"
+#include "root/process.h"
 
 #include <atomic>
 #include <memory>
@@ -21,7 +22,7 @@
 /// The whole router: rings, workers and the supervisor tree over them.
 /// Thread safety: `start`, `stop` and `drain_and_stop` by one thread; the interfaces for the front end by
 /// any.
-class daemon final : private edge::directory, private edge::operations {
+class daemon final : public process, private edge::directory, private edge::operations {
 public:
     explicit daemon(options settings);
     daemon(const daemon&) = delete;
@@ -30,18 +31,18 @@
     daemon& operator=(daemon&&) = delete;
     ~daemon() override;
 
-    void start();
+    void start() override;
     /// Stops the tree in reverse order. Requests in progress end first, within the stop limit of the edge.
-    void stop();
+    void stop() override;
     /// Starts a graceful stop; returns at once.
     void drain() override;
-    [[nodiscard]] bool drained() const;
+    [[nodiscard]] bool drained() const override;
     /// The root gave up because its children kept failing.
-    [[nodiscard]] bool failed() const { return failed_; }
+    [[nodiscard]] bool failed() const override { return failed_; }
 
     [[nodiscard]] const options& settings() const { return settings_; }
     /// The state of the whole process as JSON.
-    std::string dump_text();
+    std::string dump_text() override;
 
 private:
     [[nodiscard]] std::shared_ptr<const decision::fleet_config> lookup() const override;
@@ -52,7 +53,7 @@
     std::string metrics() override;
     base::result<std::string> config(const std::string& chunk) override;
 
-    void add_platform();
+    void add_store();
     void add_fleet();
     void add_decision();
     void add_upstream();
--- a/src/root/main.cpp
+++ b/src/root/main.cpp
@@ -3,9 +3,7 @@
 #include "fleet/socket.h"
 #include "root/daemon.h"
 
-#include <csignal>
 #include <cstring>
-#include <ctime>
 #include <docopt/docopt.h>
 #include <exception>
 #include <fstream>
@@ -43,7 +41,6 @@
 
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
-constexpr long poll_ns = 100'000'000;
 
 std::optional<options> load_options(const std::string& file) {
     std::ifstream in(file);
@@ -79,42 +76,15 @@
     return of.ip + ':' + std::to_string(of.port);
 }
 
-/// Waits for signals until the router is drained, told twice to stop, or has failed.
-int serve(daemon& router, const sigset_t& signals) {
-    bool draining = false;
-    while (!router.drained() && !router.failed()) {
-        const timespec timeout{0, poll_ns};
-        const int received = sigtimedwait(&signals, nullptr, &timeout);
-        if (received == SIGUSR1) {
-            std::cerr << router.dump_text() << std::endl;
-        } else if (received == SIGTERM || received == SIGINT) {
-            if (draining) {
-                break;
-            }
-            draining = true;
-            router.drain();
-        }
-    }
-    router.stop();
-    return router.failed() ? exit_failed : 0;
-}
-
 int run(options settings) {
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int each : {SIGTERM, SIGINT, SIGUSR1}) {
-        sigaddset(&signals, each);
-    }
-    // Blocked before any thread starts, so that only `serve` receives them.
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    const sigset_t signals = bluebell::root::block_signals();
     choose_ports(settings);
     bluebell::base::start_log(settings.log, "bluebelld");
     daemon router(settings);
     router.start();
     std::cout << "listening callers=" << text(settings.callers) << " admin=" << text(settings.admin)
               << " control=" << text(settings.control) << std::endl;
-    return serve(router, signals);
+    return bluebell::root::serve(router, signals);
 }
 
 } // namespace
--- /dev/null
+++ b/src/root/node.cpp
@@ -0,0 +1,294 @@
+#include "root/node.h"
+
+#include "base/ini.h"
+#include "edge/admin.h"
+#include "fleet/receiver.h"
+#include "fleet/sender.h"
+#include "relay/ops.h"
+#include "store/follower.h"
+
+#include <chrono>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace bluebell::root {
+namespace {
+
+using base::ranged_setting;
+using base::required_setting;
+using base::setting_type;
+
+constexpr std::size_t event_capacity = 4096;
+constexpr std::size_t command_capacity = 4096;
+constexpr std::size_t datagram_capacity = 1024;
+constexpr base::duration report_timeout = std::chrono::seconds(1);
+constexpr base::restart_limit subtree_limit{5, std::chrono::seconds(10)};
+constexpr base::restart_limit root_limit{5, std::chrono::minutes(1)};
+/// Part of the revocation bound that a confirmation of the configuration may be old. The rest covers the way
+/// of a request to its upstream.
+constexpr double freshness_share = 0.7;
+/// Descriptors that are not for callers: the store, logs, datagrams and connections to upstreams.
+constexpr std::int64_t reserved_descriptors = 1200;
+/// Part of the memory that bodies of requests in progress may take.
+constexpr std::uint64_t body_memory_part = 6;
+/// Time before the end of the grace period at which a drain gives up waiting.
+constexpr base::duration stop_margin = std::chrono::milliseconds(500);
+
+std::uint64_t system_seed() {
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+/// Start number of a router: wall clock in microseconds, so that a restarted process has a higher one without
+/// any memory. Peers correct it if the wall clock was set back.
+base::incarnation new_life() {
+    const std::chrono::system_clock::duration since_epoch =
+        std::chrono::system_clock::now().time_since_epoch();
+    return base::incarnation(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
+}
+
+decision::endpoint to_endpoint(const base::address& from) {
+    return {from.ip, from.port};
+}
+
+std::vector<base::setting_spec> make_schema() {
+    return {
+        required_setting("vm", "name", setting_type::text, "name of this VM, unique in the fleet"),
+        required_setting("vm", "data_centre", setting_type::text, "data centre of this VM"),
+        base::text_setting("fleet", "name", "bluebelldale",
+                           "name of the fleet; control messages of other fleets are dropped"),
+        required_setting("listen", "callers", setting_type::address, "where callers send requests (TCP)"),
+        required_setting("listen", "ops", setting_type::address, "readiness, metrics and dump (TCP)"),
+        base::text_setting("listen", "ready_path", "/ready", "path of the balancer's question for readiness"),
+        required_setting("listen", "control", setting_type::address, "messages between routers (UDP)"),
+        required_setting("store", "address", setting_type::address, "the platform's store"),
+        ranged_setting("store", "timeout", setting_type::time_span, "1200ms", "100ms", "30s",
+                       "longest wait for one call to the store, beyond the time that it waits for a change"),
+        ranged_setting("store", "configuration_wait", setting_type::time_span, "1s", "100ms", "10s",
+                       "how long a call waits for a change of the configuration; bounds the view's age"),
+        ranged_setting("store", "upstreams_wait", setting_type::time_span, "2s", "100ms", "10s",
+                       "how long a call waits for a change of the upstreams"),
+        ranged_setting("limits", "memory", setting_type::bytes, "256MiB", "32MiB", "65536MiB",
+                       "memory of the process"),
+        ranged_setting("limits", "descriptors", setting_type::integer, "4096", "1500", "1000000",
+                       "file descriptors of the process"),
+        ranged_setting("upstream", "connect_timeout", setting_type::time_span, "500ms", "20ms", "10s",
+                       "longest wait for a connection to an upstream"),
+        ranged_setting("bounds", "revocation", setting_type::time_span, "5s", "500ms", "1h",
+                       "a key that was taken away is not accepted any more after this time"),
+        ranged_setting("bounds", "retry_ratio", setting_type::decimal, "0.1", "0", "10",
+                       "retries of the fleet for each request of a pool within ten seconds"),
+        ranged_setting("bounds", "retry_slack", setting_type::decimal, "10", "0", "100000",
+                       "retries of the fleet that a pool may have besides"),
+        ranged_setting("bounds", "stop", setting_type::time_span, "8s", "2s", "1h",
+                       "time from the signal to stop until the process is killed"),
+        ranged_setting("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "5s",
+                       "interval of the reports of work in progress to the other routers"),
+        {"log",
+         "level",
+         setting_type::choice,
+         "info",
+         "",
+         "",
+         {"debug", "info", "warning", "error"},
+         "lowest level that is logged"},
+    };
+}
+
+base::log_level level_of(const std::string& text) {
+    if (text == "debug") {
+        return base::log_level::debug;
+    }
+    if (text == "warning") {
+        return base::log_level::warning;
+    }
+    return text == "error" ? base::log_level::error : base::log_level::info;
+}
+
+node_options to_options(const base::settings& from) {
+    node_options to;
+    to.vm = base::vm_id(from.text("vm", "name"));
+    to.data_centre = base::data_centre_id(from.text("vm", "data_centre"));
+    to.fleet = from.text("fleet", "name");
+    to.callers = to_endpoint(from.endpoint("listen", "callers"));
+    to.ops = to_endpoint(from.endpoint("listen", "ops"));
+    to.ready_path = from.text("listen", "ready_path");
+    to.control = to_endpoint(from.endpoint("listen", "control"));
+    to.store = to_endpoint(from.endpoint("store", "address"));
+    to.store_timeout = from.time("store", "timeout");
+    to.catalogue_wait = from.time("store", "configuration_wait");
+    to.roster_wait = from.time("store", "upstreams_wait");
+    to.memory = from.bytes("limits", "memory");
+    to.descriptors = from.integer("limits", "descriptors");
+    to.connect_timeout = from.time("upstream", "connect_timeout");
+    to.revocation = from.time("bounds", "revocation");
+    to.retry_ratio = from.decimal("bounds", "retry_ratio");
+    to.retry_slack = from.decimal("bounds", "retry_slack");
+    to.stop_limit = from.time("bounds", "stop");
+    to.report_interval = from.time("schedule", "report_interval");
+    to.log = level_of(from.text("log", "level"));
+    return to;
+}
+
+} // namespace
+
+const std::vector<base::setting_spec>& node_schema() {
+    static const std::vector<base::setting_spec> schema = make_schema();
+    return schema;
+}
+
+tl::expected<node_options, std::vector<base::error>> read_node_options(std::istream& in,
+                                                                       const std::string& file) {
+    const base::result<base::ini_file> text = base::read_ini(in, file);
+    if (!text) {
+        return tl::unexpected<std::vector<base::error>>({text.error()});
+    }
+    const tl::expected<base::settings, std::vector<base::error>> values =
+        base::settings::check(*text, node_schema());
+    if (!values) {
+        return tl::unexpected<std::vector<base::error>>(values.error());
+    }
+    return to_options(*values);
+}
+
+node::node(node_options settings, node_adapters adapters)
+    : settings_(std::move(settings)), adapters_(std::move(adapters)), codec_(settings_.fleet),
+      events_(event_capacity), commands_(command_capacity), datagrams_(datagram_capacity),
+      root_("root", base::restart_strategy::rest_for_one, root_limit, clock_) {
+    add_store();
+    add_fleet();
+    add_dispatch();
+    add_relay();
+}
+
+node::~node() {
+    stop();
+}
+
+std::unique_ptr<base::supervisor> node::subtree(const std::string& name) const {
+    return std::make_unique<base::supervisor>(name, base::restart_strategy::one_for_one, subtree_limit,
+                                              clock_);
+}
+
+void node::add_store() {
+    decision::vm_entry self;
+    self.vm = settings_.vm;
+    self.data_centre = settings_.data_centre;
+    self.control = settings_.control;
+    self.admin = settings_.ops;
+    store::follower_settings catalogue;
+    catalogue.wait = settings_.catalogue_wait;
+    catalogue.seed = system_seed();
+    store::follower_settings roster;
+    roster.wait = settings_.roster_wait;
+    roster.seed = system_seed();
+    std::unique_ptr<base::supervisor> tree = subtree("store");
+    tree->add(std::make_unique<store::catalogue_follower>(adapters_.directory(clock_), events_, clock_,
+                                                          catalogue));
+    tree->add(
+        std::make_unique<store::roster_follower>(adapters_.directory(clock_), events_, clock_, roster));
+    tree->add(std::make_unique<store::registrar>(adapters_.directory(clock_), events_, self, system_seed()));
+    root_.add(std::move(tree));
+}
+
+void node::add_fleet() {
+    std::unique_ptr<base::supervisor> tree = subtree("fleet");
+    tree->add(std::make_unique<fleet::receiver>(settings_.control, codec_,
+                                                fleet::sink_to(events_), received_));
+    tree->add(std::make_unique<fleet::sender>(codec_, datagrams_, sent_));
+    root_.add(std::move(tree));
+}
+
+void node::add_dispatch() {
+    // Without restarts of its own, a failure goes to the root, which restarts the relay as well.
+    std::unique_ptr<base::supervisor> tree =
+        std::make_unique<base::supervisor>("dispatch", base::restart_strategy::one_for_one,
+                                           base::restart_limit{0, std::chrono::seconds(10)}, clock_);
+    tree->add(std::make_unique<dispatch::dispatch_worker>(
+        dispatch::dispatch_links{events_, commands_, datagrams_, state_},
+        [this] { return dispatcher_options(); }, clock_));
+    root_.add(std::move(tree));
+}
+
+void node::add_relay() {
+    relay::relay_settings data_path;
+    data_path.callers = settings_.callers;
+    data_path.max_callers = static_cast<std::size_t>(settings_.descriptors - reserved_descriptors);
+    data_path.body_bytes = settings_.memory.value() / body_memory_part;
+    data_path.upstreams.connect = settings_.connect_timeout;
+    std::unique_ptr<base::supervisor> tree = subtree("relay");
+    tree->add(std::make_unique<relay::relay>(data_path, adapters_.speech, commands_, events_, state_, clock_,
+                                             metrics_));
+    tree->add(std::make_unique<relay::ops>(
+        relay::ops_settings{settings_.ops, settings_.ready_path}, state_, [this] { return metrics_text(); },
+        [this] { return dump_text(); }, clock_));
+    root_.add(std::move(tree));
+}
+
+dispatch::dispatcher_settings node::dispatcher_options() const {
+    dispatch::dispatcher_settings made;
+    made.member.self = settings_.vm;
+    made.member.life = new_life();
+    made.member.address = settings_.control;
+    made.member.seed = system_seed();
+    made.data_centre = settings_.data_centre;
+    made.freshness = std::chrono::duration_cast<base::duration>(settings_.revocation * freshness_share);
+    made.retry_ratio = settings_.retry_ratio;
+    made.retry_slack = settings_.retry_slack;
+    made.report_interval = settings_.report_interval;
+    made.drain_limit = settings_.stop_limit - stop_margin;
+    made.seed = system_seed();
+    return made;
+}
+
+void node::start() {
+    root_.start([this](const base::error&) { failed_ = true; });
+}
+
+void node::stop() {
+    root_.stop();
+}
+
+void node::drain() {
+    events_.push(decision::drain_requested{}, report_timeout);
+}
+
+bool node::drained() const {
+    const std::shared_ptr<const dispatch::router_state> state = state_.current();
+    return state && state->drained;
+}
+
+base::result<decision::state_report> node::status() {
+    const std::shared_ptr<base::ring<decision::state_report>> reply =
+        std::make_shared<base::ring<decision::state_report>>(1);
+    if (events_.push(decision::report_requested{reply}, report_timeout) != base::push_result::pushed) {
+        return base::failure(base::error_code::not_ready, "dispatcher", "takes no requests");
+    }
+    std::optional<decision::state_report> report = reply->pop(report_timeout);
+    if (!report) {
+        return base::failure(base::error_code::not_ready, "dispatcher", "did not answer in time");
+    }
+    return std::move(*report);
+}
+
+std::string node::dump_text() {
+    const base::result<decision::state_report> report = status();
+    return "{\"tree\":" + edge::to_json(root_.report()) +
+           (report ? ",\"state\":" + edge::to_json(*report) : std::string()) + '}';
+}
+
+std::string node::metrics_text() {
+    metrics_.set({"bluebell_log_lines_dropped", {}}, static_cast<double>(base::dropped_log_lines()));
+    for (std::size_t kind = 0; kind < fleet::message_kind_count; ++kind) {
+        const std::string name(fleet::message_kind_name(kind));
+        metrics_.set({"bluebell_control_sent_messages", {{"kind", name}}},
+                     static_cast<double>(sent_.of_kind(kind).messages));
+        metrics_.set({"bluebell_control_sent_bytes", {{"kind", name}}},
+                     static_cast<double>(sent_.of_kind(kind).bytes));
+    }
+    return metrics_.text();
+}
+
+} // namespace bluebell::root
--- a/src/root/options.cpp
+++ b/src/root/options.cpp
@@ -12,63 +12,47 @@
 using base::setting_spec;
 using base::setting_type;
 
-setting_spec required(std::string section, std::string key, setting_type type, std::string description) {
-    return {std::move(section), std::move(key), type, std::nullopt, "", "", {}, std::move(description)};
-}
-
-setting_spec optional_text(std::string section, std::string key, std::string fallback,
-                           std::string description) {
-    return {std::move(section),    std::move(key), setting_type::text, std::move(fallback), "", "", {},
-            std::move(description)};
-}
-
-setting_spec ranged(std::string section, std::string key, setting_type type, std::string fallback,
-                    std::string lowest, std::string highest, std::string description) {
-    return {std::move(section), std::move(key),     type, std::move(fallback),
-            std::move(lowest),  std::move(highest), {},   std::move(description)};
-}
-
 std::vector<setting_spec> make_schema() {
     return {
-        required("vm", "name", setting_type::text, "name of this VM, unique in the fleet"),
-        required("vm", "data_centre", setting_type::text, "data centre of this VM"),
-        optional_text("vm", "region", "default", "region of the data centre"),
-        required("fleet", "name", setting_type::text,
+        base::required_setting("vm", "name", setting_type::text, "name of this VM, unique in the fleet"),
+        base::required_setting("vm", "data_centre", setting_type::text, "data centre of this VM"),
+        base::text_setting("vm", "region", "default", "region of the data centre"),
+        base::required_setting("fleet", "name", setting_type::text,
                  "name of the fleet; control messages of other fleets are dropped"),
-        required("listen", "callers", setting_type::address, "where callers send requests (TCP)"),
-        required("listen", "admin", setting_type::address, "health, metrics, dump and drain (TCP)"),
-        required("listen", "control", setting_type::address, "messages between routers (UDP)"),
-        required("store", "address", setting_type::address, "the platform's object API"),
-        ranged("store", "timeout", setting_type::time_span, "2s", "100ms", "30s",
+        base::required_setting("listen", "callers", setting_type::address, "where callers send requests (TCP)"),
+        base::required_setting("listen", "admin", setting_type::address, "health, metrics, dump and drain (TCP)"),
+        base::required_setting("listen", "control", setting_type::address, "messages between routers (UDP)"),
+        base::required_setting("store", "address", setting_type::address, "the platform's object API"),
+        base::ranged_setting("store", "timeout", setting_type::time_span, "2s", "100ms", "30s",
                "longest wait for one call to the object API"),
-        ranged("limits", "requests", setting_type::integer, "200", "1", "2000",
+        base::ranged_setting("limits", "requests", setting_type::integer, "200", "1", "2000",
                "requests in progress; each holds one thread"),
-        ranged("limits", "body", setting_type::bytes, "1MiB", "1KiB", "16MiB", "largest request body"),
-        ranged("limits", "account_queue", setting_type::integer, "64", "1", "10000",
+        base::ranged_setting("limits", "body", setting_type::bytes, "1MiB", "1KiB", "16MiB", "largest request body"),
+        base::ranged_setting("limits", "account_queue", setting_type::integer, "64", "1", "10000",
                "waiting requests of one client account for one pool"),
-        ranged("limits", "queue_bytes", setting_type::bytes, "64MiB", "1MiB", "512MiB",
+        base::ranged_setting("limits", "queue_bytes", setting_type::bytes, "64MiB", "1MiB", "512MiB",
                "bodies of all waiting requests"),
-        ranged("limits", "deadline", setting_type::time_span, "2min", "1s", "1h",
+        base::ranged_setting("limits", "deadline", setting_type::time_span, "2min", "1s", "1h",
                "longest time from arrival to the end of the answer"),
-        ranged("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "2s",
+        base::ranged_setting("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "2s",
                "interval of service reports to the homes of client accounts"),
-        ranged("schedule", "bid_interval", setting_type::time_span, "200ms", "20ms", "2s",
+        base::ranged_setting("schedule", "bid_interval", setting_type::time_span, "200ms", "20ms", "2s",
                "interval at which standing bids are repeated"),
-        ranged("schedule", "bid_fanout", setting_type::integer, "8", "1", "64",
+        base::ranged_setting("schedule", "bid_fanout", setting_type::integer, "8", "1", "64",
                "owners of upstreams that one pool's bid goes to"),
-        ranged("claims", "partitions", setting_type::integer, "64", "1", "1024",
+        base::ranged_setting("claims", "partitions", setting_type::integer, "64", "1", "1024",
                "parts of the key space; must be the same on every router and must not change"),
-        ranged("claims", "spacing", setting_type::time_span, "20ms", "5ms", "2s",
+        base::ranged_setting("claims", "spacing", setting_type::time_span, "20ms", "5ms", "2s",
                "shortest interval between two journal writes of one partition"),
-        ranged("claims", "retention", setting_type::time_span, "24h", "1h", "168h",
+        base::ranged_setting("claims", "retention", setting_type::time_span, "24h", "1h", "168h",
                "how long an idempotency key is remembered"),
-        ranged("upstream", "connect_timeout", setting_type::time_span, "1s", "50ms", "30s",
+        base::ranged_setting("upstream", "connect_timeout", setting_type::time_span, "1s", "50ms", "30s",
                "longest wait for a connection to an upstream"),
-        ranged("upstream", "first_byte_timeout", setting_type::time_span, "30s", "100ms", "10min",
+        base::ranged_setting("upstream", "first_byte_timeout", setting_type::time_span, "30s", "100ms", "10min",
                "longest wait for the first byte of an answer"),
-        ranged("upstream", "between_bytes_timeout", setting_type::time_span, "10s", "100ms", "10min",
+        base::ranged_setting("upstream", "between_bytes_timeout", setting_type::time_span, "10s", "100ms", "10min",
                "longest silence within an answer"),
-        ranged("drain", "limit", setting_type::time_span, "1min", "1s", "1h",
+        base::ranged_setting("drain", "limit", setting_type::time_span, "1min", "1s", "1h",
                "how long a stop waits for waiting requests"),
         {"log",
          "level",
--- a/src/platform/config.cpp
+++ b/src/store/config.cpp
@@ -1,4 +1,4 @@
-#include "platform/config.h"
+#include "store/config.h"
 
 #include "base/hash.h"
 
@@ -11,7 +11,7 @@
 #include <stdexcept>
 #include <thread>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using base::error;
@@ -668,4 +668,4 @@
     return removed;
 }
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/config.h
+++ b/src/store/config.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decision/release.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <array>
 #include <map>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Client accounts are spread over this many chunks by hash, so that a release rewrites little.
 constexpr std::size_t account_chunks = 64;
@@ -167,4 +167,4 @@
     publish_limits limits_;
 };
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- /dev/null
+++ b/src/store/follower.cpp
@@ -0,0 +1,146 @@
+#include "store/follower.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell::store {
+namespace {
+
+/// Interval between two looks at the entries of the other routers; those that start later introduce
+/// themselves.
+constexpr base::duration peer_interval = std::chrono::seconds(20);
+constexpr base::duration first_retry = std::chrono::milliseconds(200);
+constexpr base::duration longest_retry = std::chrono::seconds(3);
+constexpr base::duration ring_wait = std::chrono::seconds(1);
+/// An outage shorter than this does not let entries lapse, which takes three missed heartbeats.
+constexpr base::duration short_outage = std::chrono::seconds(1);
+
+/// A random part of half of `value` is left out, so that routers do not call in step.
+base::duration jittered(base::duration value, std::mt19937_64& random) {
+    return value - base::duration(std::uniform_int_distribution<base::duration::rep>(0, value.count() / 2)(
+                       random));
+}
+
+} // namespace
+
+follower::follower(std::unique_ptr<directory> source, base::ring<dispatch::event>& events,
+                   const base::clock& time, const follower_settings& settings)
+    : source_(std::move(source)), events_(events), clock_(time), settings_(settings),
+      random_(settings.seed) {}
+
+void follower::run(base::stop_signal& stop) {
+    std::optional<position> at;
+    while (!stop.requested()) {
+        const bool outage = failing_since_ && now() - *failing_since_ >= short_outage;
+        base::result<position> got = at ? await(*at) : read(outage);
+        if (got) {
+            if (failing_since_) {
+                base::log_event(base::log_level::info, name(), "store_regained",
+                                {{"failures", failures_},
+                                 {"after_s", std::chrono::duration<double>(now() - *failing_since_).count()}});
+            }
+            failures_ = 0;
+            failing_since_.reset();
+            at = *got;
+            continue;
+        }
+        at.reset();
+        if (got.error().code == base::error_code::store_history_lost) {
+            base::log_event(base::log_level::info, name(), "history_lost", {});
+            continue;
+        }
+        note_failure(got.error());
+        stop.wait_for(next_pause());
+    }
+}
+
+void follower::note_failure(const base::error& cause) {
+    if (!failing_since_) {
+        failing_since_ = now();
+    }
+    ++failures_;
+    base::log_event(base::log_level::warning, name(), "store_failed",
+                    {{"code", base::to_string(cause.code)}, {"text", cause.text}, {"failures", failures_}});
+}
+
+base::duration follower::next_pause() {
+    const std::uint32_t doublings = std::min(failures_, 5U) - 1;
+    return jittered(std::min(settings_.first_pause * (1U << doublings), settings_.longest_pause), random_);
+}
+
+void follower::tell(dispatch::event what) {
+    if (events_.push(std::move(what), ring_wait) != base::push_result::pushed) {
+        throw base::fatal_error({base::error_code::worker_failed, name(), "the dispatcher takes no events"});
+    }
+}
+
+base::result<position> catalogue_follower::read(bool /*after_outage*/) {
+    const base::time_point asked = now();
+    base::result<catalogue_reading> got = source().read_catalogue();
+    if (!got) {
+        return tl::unexpected(got.error());
+    }
+    tell(dispatch::catalogue_read{std::move(got->value), asked});
+    return got->at;
+}
+
+base::result<position> catalogue_follower::await(position from) {
+    const base::time_point asked = now();
+    base::result<catalogue_reading> got = source().await_catalogue(from, wait());
+    if (!got) {
+        return tl::unexpected(got.error());
+    }
+    tell(dispatch::catalogue_read{std::move(got->value), asked});
+    return got->at;
+}
+
+base::result<position> roster_follower::read(bool after_outage) {
+    base::result<roster_reading> got = source().read_upstreams();
+    if (!got) {
+        return tl::unexpected(got.error());
+    }
+    tell(dispatch::roster_read{std::move(got->entries), after_outage});
+    return got->at;
+}
+
+base::result<position> roster_follower::await(position from) {
+    base::result<roster_changes> got = source().await_upstreams(from, wait());
+    if (!got) {
+        return tl::unexpected(got.error());
+    }
+    if (!got->changes.empty()) {
+        tell(dispatch::roster_changed{std::move(got->changes)});
+    }
+    return got->at;
+}
+
+registrar::registrar(std::unique_ptr<directory> source, base::ring<dispatch::event>& events,
+                     decision::vm_entry self, std::uint64_t seed)
+    : source_(std::move(source)), events_(events), self_(std::move(self)), random_(seed) {}
+
+bool registrar::announce() {
+    const base::result<void> entered = source_->announce_router(self_);
+    if (!entered) {
+        base::log_event(base::log_level::warning, name(), "not_entered",
+                        {{"code", base::to_string(entered.error().code)}, {"text", entered.error().text}});
+    }
+    return entered.has_value();
+}
+
+void registrar::run(base::stop_signal& stop) {
+    base::duration pause = first_retry;
+    while (!stop.requested()) {
+        announced_ = announced_ || announce();
+        base::result<std::vector<decision::vm_entry>> peers = source_->read_routers();
+        if (peers) {
+            events_.push(dispatch::peers_read{std::move(*peers)}, ring_wait);
+        }
+        const bool done = announced_ && peers;
+        stop.wait_for(jittered(done ? peer_interval : pause, random_));
+        pause = done ? first_retry : std::min(pause * 2, longest_retry);
+    }
+}
+
+} // namespace bluebell::store
--- a/src/platform/http.cpp
+++ b/src/store/http.cpp
@@ -1,4 +1,4 @@
-#include "platform/http.h"
+#include "store/http.h"
 
 #include <cctype>
 #include <charconv>
@@ -9,7 +9,7 @@
 #include <optional>
 #include <sstream>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using base::error_code;
@@ -303,4 +303,4 @@
     }
 }
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/http.h
+++ b/src/store/http.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
 #include <memory>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Time limits of calls to the platform.
 struct call_limits {
@@ -84,4 +84,4 @@
 /// Error: `store_malformed`.
 base::result<std::vector<decision::vm_entry>> decode_vms(const std::string& json);
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/journal.cpp
+++ b/src/store/journal.cpp
@@ -1,4 +1,4 @@
-#include "platform/journal.h"
+#include "store/journal.h"
 
 #include "base/hash.h"
 
@@ -10,7 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 constexpr std::uint32_t magic = 0x62626a31; // "bbj1"
@@ -633,4 +633,4 @@
     }
 }
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/journal.h
+++ b/src/store/journal.h
@@ -6,7 +6,7 @@
 #include "base/worker.h"
 #include "decision/command.h"
 #include "decision/event.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -19,7 +19,7 @@
 #include <string_view>
 #include <vector>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Largest value that the object store takes.
 constexpr std::size_t store_value_limit = 1000000;
@@ -120,4 +120,4 @@
     base::ring<decision::event>& events_;
 };
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/note.cpp
+++ b/src/store/note.cpp
@@ -1,4 +1,4 @@
-#include "platform/note.h"
+#include "store/note.h"
 
 #include "base/ini.h"
 
@@ -9,7 +9,7 @@
 #include <optional>
 #include <sstream>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using base::error;
@@ -271,4 +271,4 @@
     return note_reader(*file).run();
 }
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/note.h
+++ b/src/store/note.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Reads a release note in the INI format of docs/releases.md. Names are not compared with a configuration;
 /// `decision::validate` does that.
@@ -21,4 +21,4 @@
 constexpr int note_format = 1;
 constexpr std::size_t title_limit = 200; ///< bytes; the head keeps the titles of the last changes
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/release.cpp
+++ b/src/store/release.cpp
@@ -1,11 +1,11 @@
-#include "platform/release.h"
+#include "store/release.h"
 
 #include "base/log.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 using base::error_code;
@@ -201,4 +201,4 @@
     return std::chrono::duration_cast<base::duration>(mean * factor(random_));
 }
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/release.h
+++ b/src/store/release.h
@@ -5,9 +5,9 @@
 #include "base/worker.h"
 #include "decision/command.h"
 #include "decision/event.h"
-#include "platform/config.h"
-#include "platform/http.h"
-#include "platform/store.h"
+#include "store/config.h"
+#include "store/http.h"
+#include "store/store.h"
 
 #include <cstdint>
 #include <memory>
@@ -15,7 +15,7 @@
 #include <random>
 #include <string>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Fetches the release in force of another router.
 /// Thread safety: one instance is used by one thread.
@@ -105,4 +105,4 @@
     std::optional<base::time_point> failed_at_;
 };
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/store.h
+++ b/src/store/store.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 struct stored_object {
     std::string value;
@@ -58,4 +58,4 @@
     virtual base::result<std::vector<decision::vm_entry>> read() = 0;
 };
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/vms.cpp
+++ b/src/store/vms.cpp
@@ -1,10 +1,10 @@
-#include "platform/vms.h"
+#include "store/vms.h"
 
 #include "base/log.h"
 
 #include <utility>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 namespace {
 
 constexpr base::duration push_limit = std::chrono::seconds(1);
@@ -35,4 +35,4 @@
     }
 }
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
--- a/src/platform/vms.h
+++ b/src/store/vms.h
@@ -3,14 +3,14 @@
 #include "base/ring.h"
 #include "base/worker.h"
 #include "decision/event.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 #include <cstdint>
 #include <memory>
 #include <random>
 #include <string>
 
-namespace bluebell::platform {
+namespace bluebell::store {
 
 /// Polls the VM list of the platform and tells the decider. While the list cannot be read, the decider goes
 /// on with the last one.
@@ -32,4 +32,4 @@
     base::duration interval_;
 };
 
-} // namespace bluebell::platform
+} // namespace bluebell::store
