--- a/bench/release.cpp
+++ b/bench/release.cpp
@@ -1,5 +1,5 @@
-#include "store/config.h"
 #include "standin/objects.h"
+#include "store/config.h"
 
 #include <chrono>
 #include <functional>
@@ -48,7 +48,7 @@
         return base::object_version(table_.write(name.value(), value, expected.value()).object.version);
     }
     base::result<store::stored_object> watch(const base::object_name& name, base::object_version /*known*/,
-                                                base::duration /*timeout*/) override {
+                                             base::duration /*timeout*/) override {
         return read(name);
     }
     base::result<void> remove(const base::object_name& /*name*/, base::object_version /*expected*/) override {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -42,8 +42,7 @@
 /// Sends JSON lines to `output`. Without this call nothing is logged. A thread of its own writes the lines;
 /// while the output takes none, the oldest waiting lines are dropped and counted, so that no caller waits.
 /// Pre-condition: called once, before other threads start.
-void start_log(log_level lowest, const std::string& process,
-               log_output output = log_output::standard_error);
+void start_log(log_level lowest, const std::string& process, log_output output = log_output::standard_error);
 
 /// Lines that were dropped because the output took none.
 unsigned long dropped_log_lines();
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -79,7 +79,8 @@
     std::map<std::pair<std::string, std::string>, value> values_;
 };
 
-/// Number in the base unit of the type (nanoseconds, bytes, millionths of a decimal); empty if `text` is malformed.
+/// Number in the base unit of the type (nanoseconds, bytes, millionths of a decimal); empty if `text` is
+/// malformed.
 std::optional<std::int64_t> parse_number(setting_type type, const std::string& text);
 std::optional<address> parse_address(const std::string& text);
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -25,13 +25,15 @@
 /// Wait at the engine, as a part of the objective, that a request may cause which is late anyway.
 constexpr double late_wait = 0.15;
 /// Share of an engine that requests which are late anyway may fill.
-constexpr double late_room = 0.8;
+constexpr double late_room = 0.75;
+/// Share of an engine that requests of accounts may fill which are far ahead of their fair share.
+constexpr double least_room = 0.5;
 /// Weight of reading a shared part again: it takes the engine from others, and the platform charges for it.
 constexpr double reread_weight = 6;
 /// Accounts ahead of their fair share by this much have their limits lowered, to `least_standing` at most.
 constexpr double ahead_begin = 0.95;
 constexpr double ahead_end = 1.35;
-constexpr double least_standing = 0.25;
+constexpr double least_standing = 0.1;
 /// Time to pass the answer on to the caller.
 constexpr base::duration delivery_time = std::chrono::milliseconds(8);
 /// A retry is not started with less time than this left.
@@ -102,8 +104,7 @@
 
 dispatcher::dispatcher(const dispatcher_settings& settings, base::time_point now)
     : settings_(settings), now_(now), members_(settings.member, now),
-      placement_(settings.data_centre, settings.seed),
-      budget_({settings.retry_ratio * budget_use, 0}),
+      placement_(settings.data_centre, settings.seed), budget_({settings.retry_ratio * budget_use, 0}),
       crashes_({distinct_crashes, std::chrono::minutes(10), 4096}), next_report_(now), next_pass_(now),
       random_(settings.seed) {}
 
@@ -151,8 +152,8 @@
     if (!deadlines_.empty()) {
         due = std::min(due, deadlines_.begin()->first);
     }
-    const bool waiting = std::any_of(queues_.begin(), queues_.end(),
-                                     [](const auto& queue) { return !queue.second.empty(); });
+    const bool waiting =
+        std::any_of(queues_.begin(), queues_.end(), [](const auto& queue) { return !queue.second.empty(); });
     if (waiting) {
         due = std::min(due, queue_changed_ ? next_pass_ : next_pass_ + longest_pass - pass_interval);
     }
@@ -225,8 +226,8 @@
     const pool* const kind = catalogue_->find(made.pool);
     const double output = static_cast<double>(expected_output(what.prompt).value());
     const bool engine = kind != nullptr && kind->engine;
-    made.price = base::cost(
-        engine ? static_cast<double>(what.prompt.prompt.value()) + output_weight * output : plain_price);
+    made.price = base::cost(engine ? static_cast<double>(what.prompt.prompt.value()) + output_weight * output
+                                   : plain_price);
     made.memory = what.prompt.prompt + expected_output(what.prompt);
     budget_.first_attempt(made.pool, now_);
     if (drain_began_ && now_ - *drain_began_ > settings_.drain_accept) {
@@ -306,7 +307,8 @@
     wanted.prompt = &what.prompt;
     wanted.memory = what.memory;
     wanted.excluded = &what.tried;
-    wanted.room = late || standing(what) < 1 ? late_room : 1;
+    const double position = standing(what);
+    wanted.room = std::min(late ? late_room : 1.0, least_room + (1 - least_room) * position);
     wanted.reread_weight = reread_weight;
     const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
     if (!choice || !admit(what, *choice)) {
@@ -387,8 +389,8 @@
             }
             ++failures;
             if (now_ - each.arrived >= hold_time(each)) {
-                give_up(each, placement_.ready_count(pool) == 0 ? error_code::no_upstream
-                                                                 : error_code::queue_full);
+                give_up(each,
+                        placement_.ready_count(pool) == 0 ? error_code::no_upstream : error_code::queue_full);
                 continue;
             }
             queue.push_back(id);
@@ -499,11 +501,11 @@
 
 bool dispatcher::try_again(session& what, const attempt_over& how) {
     const bool unsent = how.how == attempt_outcome::unsent;
-    const bool not_run = unsent || how.how == attempt_outcome::refused ||
-                         how.how == attempt_outcome::misdirected;
-    const bool may_run_again =
-        how.how == attempt_outcome::cut ? what.via->kind == route_kind::streaming && what.via->resumable
-                                        : what.via->repeatable();
+    const bool not_run =
+        unsent || how.how == attempt_outcome::refused || how.how == attempt_outcome::misdirected;
+    const bool may_run_again = how.how == attempt_outcome::cut
+                                   ? what.via->kind == route_kind::streaming && what.via->resumable
+                                   : what.via->repeatable();
     if ((!not_run && !may_run_again) || what.used >= what.via->max_attempts ||
         now_ + least_time_left >= what.deadline || crashes_.blocked(what.print, now_)) {
         return false;
@@ -521,8 +523,7 @@
     return true;
 }
 
-void dispatcher::end(session& what, int status, error_code cause,
-                     std::optional<base::duration> retry_after) {
+void dispatcher::end(session& what, int status, error_code cause, std::optional<base::duration> retry_after) {
     ++counts_["ended/" + std::string(base::to_string(cause))];
     base::log_event(log_level::info, "dispatcher", "ended",
                     {{"request", what.trace},
@@ -702,19 +703,20 @@
         requests.values.push_back(number("queued/" + pool.value(), static_cast<double>(queue.size())));
     }
     decision::state_section view{"view", {}};
-    view.values.push_back(number("version", catalogue_ ? static_cast<double>(catalogue_->version.value()) : 0));
+    view.values.push_back(
+        number("version", catalogue_ ? static_cast<double>(catalogue_->version.value()) : 0));
     view.values.push_back(number("age_ms", confirmed_ ? ms(now - *confirmed_) : -1));
     view.values.push_back(number("members", static_cast<double>(members_.live().size())));
     view.values.push_back(number("upstreams", static_cast<double>(roster_.entries().size())));
     view.values.push_back(number("pressure", share_.pressure()));
     decision::state_section upstreams{"upstreams", {}};
     for (const auto& [id, state] : placement_.states()) {
-        upstreams.values.push_back({id.value(), "{\"own\":" + std::to_string(state.own.running) +
-                                                    ",\"peers\":" + std::to_string(state.peers.running) +
-                                                    ",\"pending\":" +
-                                                    std::to_string(state.total().pending.value()) +
-                                                    ",\"slowness\":" + std::to_string(state.slowness) +
-                                                    ",\"failures\":" + std::to_string(state.failures) + '}'});
+        upstreams.values.push_back(
+            {id.value(), "{\"own\":" + std::to_string(state.own.running) +
+                             ",\"peers\":" + std::to_string(state.peers.running) +
+                             ",\"pending\":" + std::to_string(state.total().pending.value()) +
+                             ",\"slowness\":" + std::to_string(state.slowness) +
+                             ",\"failures\":" + std::to_string(state.failures) + '}'});
     }
     return {requests, view, upstreams};
 }
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -36,6 +36,10 @@
 /// Interval at which parts that no engine can keep any more are forgotten.
 constexpr base::duration expiry_interval = std::chrono::seconds(2);
 constexpr double ns_per_ms = 1e6;
+/// Slots of an engine that are left free for requests that other routers have just placed: this many, and no
+/// more than this share of all. A request that finds no slot waits for the end of a whole stream.
+constexpr double slot_margin = 3;
+constexpr double slot_margin_share = 0.1;
 /// Requests that a plain service may have waiting for each slot.
 constexpr double plain_overcommit = 3;
 /// Share of an engine's memory that requests may fill.
@@ -212,8 +216,8 @@
     choice.ahead = state.total().pending;
     choice.first_event = std::chrono::duration_cast<base::duration>(
         model.predict(choice.ahead + choice.uncached) * state.slowness);
-    choice.wait = choice.first_event - std::chrono::duration_cast<base::duration>(
-                                           model.predict(choice.uncached) * state.slowness);
+    choice.wait = choice.first_event -
+                  std::chrono::duration_cast<base::duration>(model.predict(choice.uncached) * state.slowness);
     const double reread = static_cast<double>(std::max(shared - kept_here, token_count()).value());
     const double weight = (what.reread_weight - 1) * (home ? home_weight : 1);
     const base::duration penalty(
@@ -228,7 +232,8 @@
     if (kind == nullptr || !kind->engine) {
         return static_cast<double>(total.running) < slots * plain_overcommit;
     }
-    if (total.running > 0 && static_cast<double>(total.running) >= slots * what.room) {
+    const double margin = std::min(slot_margin, slots * slot_margin_share);
+    if (total.running > 0 && static_cast<double>(total.running) >= (slots - margin) * what.room) {
         return false;
     }
     const double memory = static_cast<double>(kind->engine->memory.value()) * memory_share * what.room;
@@ -262,15 +267,14 @@
         } else {
             const double load = static_cast<double>(state.total().running) /
                                 std::max(1.0, static_cast<double>(entry.slots.value()));
-            choice.first_event = std::chrono::duration_cast<base::duration>(
-                std::chrono::milliseconds(50) * (load * state.slowness));
+            choice.first_event = std::chrono::duration_cast<base::duration>(std::chrono::milliseconds(50) *
+                                                                            (load * state.slowness));
             choice.wait = choice.first_event;
             cost = choice.first_event;
         }
-        cost +=
-            std::chrono::duration_cast<base::duration>(failure_penalty * state.failures) +
-            (entry.data_centre == here_ ? base::duration::zero() : remote_penalty) +
-            base::duration(jitter(random_));
+        cost += std::chrono::duration_cast<base::duration>(failure_penalty * state.failures) +
+                (entry.data_centre == here_ ? base::duration::zero() : remote_penalty) +
+                base::duration(jitter(random_));
         if (!best || cost < best_cost) {
             best = choice;
             best_cost = cost;
@@ -279,8 +283,7 @@
     return best;
 }
 
-void placement::sent(const base::upstream_id& upstream, const placed_work& work,
-                     const prompt_facts& prompt) {
+void placement::sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt) {
     upstream_state& state = states_[upstream];
     state.own += work;
     // What the answer adds counts from the start, since the memory is claimed as it grows.
@@ -301,10 +304,10 @@
     state.own.pending = std::max(state.own.pending - pending, token_count());
     prefill_model& model = models_[pool];
     const base::duration predicted = model.predict(ahead + pending);
-    const double ratio = static_cast<double>(elapsed.count()) /
-                         std::max(1.0, static_cast<double>(predicted.count()));
-    state.slowness = std::clamp(state.slowness + slowness_gain * (ratio - state.slowness), min_slowness,
-                                max_slowness);
+    const double ratio =
+        static_cast<double>(elapsed.count()) / std::max(1.0, static_cast<double>(predicted.count()));
+    state.slowness =
+        std::clamp(state.slowness + slowness_gain * (ratio - state.slowness), min_slowness, max_slowness);
     model.observe(ahead + pending, elapsed);
 }
 
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -58,8 +58,7 @@
             entry = own_.erase(entry);
             continue;
         }
-        told.push_back(
-            {entry->first, base::cost(entry->second.served), base::cost(entry->second.asked)});
+        told.push_back({entry->first, base::cost(entry->second.served), base::cost(entry->second.asked)});
         ++entry;
     }
     return told;
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -28,8 +28,8 @@
     links_.state.publish(std::make_shared<router_state>());
     dispatcher decisions(settings_(), clock_.now());
     while (!stop.requested()) {
-        const base::duration wait = std::clamp(decisions.next_due() - clock_.now(), base::duration::zero(),
-                                               longest_wait);
+        const base::duration wait =
+            std::clamp(decisions.next_due() - clock_.now(), base::duration::zero(), longest_wait);
         std::optional<event> next = links_.events.pop(wait);
         for (int i = 0; next && i < event_batch; ++i) {
             decisions.handle(*next, clock_.now());
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -805,7 +805,7 @@
 
 std::string_view message_kind_name(std::size_t kind) {
     constexpr std::array<std::string_view, message_kind_count> names{
-        "ping",        "ack",   "ping_request", "bid",    "grant",      "release",     "usage",
+        "ping",        "ack",   "ping_request", "bid",    "grant",      "release",      "usage",
         "usage_total", "claim", "claim_result", "settle", "settle_ack", "crash_report", "work_report"};
     return names.at(kind);
 }
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -15,9 +15,8 @@
 }
 
 const std::string* find_field(const std::vector<field>& fields, std::string_view name) {
-    const auto found = std::find_if(fields.begin(), fields.end(), [&](const field& each) {
-        return equal_ignoring_case(each.name, name);
-    });
+    const auto found = std::find_if(fields.begin(), fields.end(),
+                                    [&](const field& each) { return equal_ignoring_case(each.name, name); });
     return found == fields.end() ? nullptr : &found->value;
 }
 
@@ -31,8 +30,9 @@
 
 bool hop_by_hop(std::string_view name) {
     static constexpr std::array<std::string_view, 11> names{
-        "connection", "keep-alive", "proxy-connection",  "proxy-authenticate", "proxy-authorization", "te",
-        "trailer",    "upgrade",    "transfer-encoding", "content-length",     "expect"};
+        "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
+        "te",         "trailer",    "upgrade",          "transfer-encoding",  "content-length",
+        "expect"};
     return std::any_of(names.begin(), names.end(),
                        [&](std::string_view each) { return equal_ignoring_case(each, name); });
 }
@@ -184,7 +184,8 @@
 }
 
 bool request_parser::expects_continue() const {
-    const std::string* const expected = head_complete_ && !complete_ ? find_field(fields_, "Expect") : nullptr;
+    const std::string* const expected =
+        head_complete_ && !complete_ ? find_field(fields_, "Expect") : nullptr;
     return expected != nullptr && equal_ignoring_case(*expected, "100-continue");
 }
 
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -62,8 +62,9 @@
     set_option(socket, SOL_SOCKET, SO_REUSEADDR, 1);
     if (bind(socket.number(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
         listen(socket.number(), backlog) != 0) {
-        return tl::unexpected<base::error>(describe(
-            errno == EADDRINUSE ? base::error_code::address_in_use : base::error_code::socket_failure, local));
+        return tl::unexpected<base::error>(describe(errno == EADDRINUSE ? base::error_code::address_in_use
+                                                                        : base::error_code::socket_failure,
+                                                    local));
     }
     return socket;
 }
--- a/src/relay/caller.h
+++ b/src/relay/caller.h
@@ -3,8 +3,8 @@
 #include "base/clock.h"
 #include "dispatch/catalogue.h"
 #include "http/parser.h"
-#include "relay/poller.h"
 #include "http/socket.h"
+#include "relay/poller.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -70,8 +70,8 @@
     /// Fields of an upstream's answer that the caller gets.
     [[nodiscard]] virtual std::vector<http::field> answer_fields(const http::response_head& head) const = 0;
     /// Fields of an answer that the router makes itself.
-    [[nodiscard]] virtual std::vector<http::field> refusal_fields(
-        const std::string& trace, std::optional<base::duration> retry_after) const = 0;
+    [[nodiscard]] virtual std::vector<http::field>
+    refusal_fields(const std::string& trace, std::optional<base::duration> retry_after) const = 0;
 };
 
 } // namespace bluebell::relay
--- a/src/relay/link.cpp
+++ b/src/relay/link.cpp
@@ -69,10 +69,10 @@
     if (!idle() || connecting_) {
         return false;
     }
-    const base::duration limit =
-        idle_timeout_ ? std::chrono::duration_cast<base::duration>(*idle_timeout_ *
-                                                                   (surely ? sure_share : repeatable_share))
-                      : unstated_idle;
+    const base::duration limit = idle_timeout_
+                                     ? std::chrono::duration_cast<base::duration>(
+                                           *idle_timeout_ * (surely ? sure_share : repeatable_share))
+                                     : unstated_idle;
     return now - idle_since_ < limit && http::quiet(socket_);
 }
 
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -4,9 +4,9 @@
 #include "base/id.h"
 #include "dispatch/event.h"
 #include "http/parser.h"
+#include "http/socket.h"
 #include "relay/caller.h"
 #include "relay/poller.h"
-#include "http/socket.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -102,8 +102,8 @@
     told.key = facts->key;
     told.patience = facts->patience;
     told.prompt = facts->prompt;
-    told.print = base::fingerprint(base::stable_hash(
-        body, base::stable_hash(head.target, base::stable_hash(facts->key))));
+    told.print = base::fingerprint(
+        base::stable_hash(body, base::stable_hash(head.target, base::stable_hash(facts->key))));
     told.arrived = made->read;
     body_bytes_ += body.size();
     made->head = std::move(head);
--- a/src/root/daemon.cpp
+++ b/src/root/daemon.cpp
@@ -108,21 +108,22 @@
     store::call_limits limits;
     limits.answer = settings_.store_timeout;
     std::unique_ptr<base::supervisor> node = subtree("store");
-    node->add(std::make_unique<store::release_worker>(
-        std::make_unique<store::http_object_store>(store, limits),
-        std::make_unique<store::http_config_peer>(limits), release_, events_, clock_, system_seed(),
-        store::release_timing{}));
+    node->add(
+        std::make_unique<store::release_worker>(std::make_unique<store::http_object_store>(store, limits),
+                                                std::make_unique<store::http_config_peer>(limits), release_,
+                                                events_, clock_, system_seed(), store::release_timing{}));
     node->add(std::make_unique<store::vms_worker>(std::make_unique<store::http_vm_list>(store, limits),
-                                                     events_, system_seed()));
-    node->add(std::make_unique<store::journal>(
-        std::make_unique<store::http_object_store>(store, limits), clock_, store::journal_settings{},
-        system_seed(), journal_, events_));
+                                                  events_, system_seed()));
+    node->add(std::make_unique<store::journal>(std::make_unique<store::http_object_store>(store, limits),
+                                               clock_, store::journal_settings{}, system_seed(), journal_,
+                                               events_));
     root_.add(std::move(node));
 }
 
 void daemon::add_fleet() {
     std::unique_ptr<base::supervisor> node = subtree("fleet");
-    node->add(std::make_unique<fleet::receiver>(to_endpoint(settings_.control), codec_, fleet::sink_to(events_), received_));
+    node->add(std::make_unique<fleet::receiver>(to_endpoint(settings_.control), codec_,
+                                                fleet::sink_to(events_), received_));
     node->add(std::make_unique<fleet::sender>(codec_, datagrams_, sent_));
     root_.add(std::move(node));
 }
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -185,18 +185,17 @@
     roster.wait = settings_.roster_wait;
     roster.seed = system_seed();
     std::unique_ptr<base::supervisor> tree = subtree("store");
-    tree->add(std::make_unique<store::catalogue_follower>(adapters_.directory(clock_), events_, clock_,
-                                                          catalogue));
     tree->add(
-        std::make_unique<store::roster_follower>(adapters_.directory(clock_), events_, clock_, roster));
+        std::make_unique<store::catalogue_follower>(adapters_.directory(clock_), events_, clock_, catalogue));
+    tree->add(std::make_unique<store::roster_follower>(adapters_.directory(clock_), events_, clock_, roster));
     tree->add(std::make_unique<store::registrar>(adapters_.directory(clock_), events_, self, system_seed()));
     root_.add(std::move(tree));
 }
 
 void node::add_fleet() {
     std::unique_ptr<base::supervisor> tree = subtree("fleet");
-    tree->add(std::make_unique<fleet::receiver>(settings_.control, codec_,
-                                                fleet::sink_to(events_), received_));
+    tree->add(
+        std::make_unique<fleet::receiver>(settings_.control, codec_, fleet::sink_to(events_), received_));
     tree->add(std::make_unique<fleet::sender>(codec_, datagrams_, sent_));
     root_.add(std::move(tree));
 }
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -19,16 +19,16 @@
 
 /// A random part of half of `value` is left out, so that routers do not call in step.
 base::duration jittered(base::duration value, std::mt19937_64& random) {
-    return value - base::duration(std::uniform_int_distribution<base::duration::rep>(0, value.count() / 2)(
-                       random));
+    return value -
+           base::duration(std::uniform_int_distribution<base::duration::rep>(0, value.count() / 2)(random));
 }
 
 } // namespace
 
 follower::follower(std::unique_ptr<directory> source, base::ring<dispatch::event>& events,
                    const base::clock& time, const follower_settings& settings)
-    : source_(std::move(source)), events_(events), clock_(time), settings_(settings),
-      random_(settings.seed) {}
+    : source_(std::move(source)), events_(events), clock_(time), settings_(settings), random_(settings.seed) {
+}
 
 void follower::run(base::stop_signal& stop) {
     std::optional<position> at;
@@ -37,9 +37,10 @@
         base::result<position> got = at ? await(*at) : read(outage);
         if (got) {
             if (failing_since_) {
-                base::log_event(base::log_level::info, name(), "store_regained",
-                                {{"failures", failures_},
-                                 {"after_s", std::chrono::duration<double>(now() - *failing_since_).count()}});
+                base::log_event(
+                    base::log_level::info, name(), "store_regained",
+                    {{"failures", failures_},
+                     {"after_s", std::chrono::duration<double>(now() - *failing_since_).count()}});
             }
             failures_ = 0;
             failing_since_.reset();
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -87,8 +87,8 @@
 class registrar final : public base::worker {
 public:
     /// Pre-condition: `events` outlives the worker.
-    registrar(std::unique_ptr<directory> source, base::ring<dispatch::event>& events,
-              decision::vm_entry self, std::uint64_t seed);
+    registrar(std::unique_ptr<directory> source, base::ring<dispatch::event>& events, decision::vm_entry self,
+              std::uint64_t seed);
     [[nodiscard]] std::string name() const override { return "registrar"; }
     void run(base::stop_signal& stop) override;
     void interrupt() override { source_->interrupt(); }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,5 +1,5 @@
-#include "store/config.h"
 #include "standin/objects.h"
+#include "store/config.h"
 #include "tests/property.h"
 
 #include <catch2/catch.hpp>
--- a/tests/fake.h
+++ b/tests/fake.h
@@ -70,7 +70,7 @@
     }
 
     base::result<store::stored_object> watch(const base::object_name& name, base::object_version known,
-                                                base::duration timeout) override {
+                                             base::duration timeout) override {
         static_cast<void>(known);
         static_cast<void>(timeout);
         return read(name);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,6 +1,6 @@
 #include "edge/host.h"
-#include "store/http.h"
 #include "standin/objects.h"
+#include "store/http.h"
 
 #include "base/guard.h"
 
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -1,8 +1,8 @@
 #include "base/supervisor.h"
 #include "edge/host.h"
+#include "standin/objects.h"
 #include "store/release.h"
 #include "store/vms.h"
-#include "standin/objects.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
