--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,7 +35,8 @@
 /// The same after `patient_share` of the objective, when the alternative is to refuse the request.
 constexpr double last_reread_weight = 1.5;
 constexpr double patient_share = 0.3;
-/// Share of an engine that requests may fill which have shared parts read again there, while they are patient.
+/// Share of an engine that requests may fill which have shared parts read again there, while they are
+/// patient.
 constexpr double cold_room = 0.6;
 /// Prompt tokens placed since the last report that are worth one ahead of time, and the shortest interval.
 constexpr token_count urgent_tokens(8000);
@@ -213,6 +214,13 @@
     return std::nullopt;
 }
 
+void dispatcher::on(const relay_started& /*what*/) {
+    while (!sessions_.empty()) {
+        forget(sessions_.begin()->first);
+    }
+    output_.relay.clear();
+}
+
 void dispatcher::on(const request_read& what) {
     session made;
     made.id = what.id;
@@ -274,7 +282,8 @@
     const auto usual = std::max_element(seen.begin(), seen.end(),
                                         [](const auto& a, const auto& b) { return a.second < b.second; });
     const base::duration less = base::duration(usual->first) - *patience;
-    const bool tried_before = usual->second > 1 && less > scaled(base::duration(usual->first), patience_spread);
+    const bool tried_before =
+        usual->second > 1 && less > scaled(base::duration(usual->first), patience_spread);
     return tried_before ? less : base::duration::zero();
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -101,6 +101,7 @@
         base::time_point at;
     };
 
+    void on(const relay_started& what);
     void on(const request_read& what);
     void on(const caller_left& what);
     void on(const answer_began& what);
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -116,9 +116,12 @@
     std::vector<decision::vm_entry> peers;
 };
 
-using event = std::variant<request_read, caller_left, answer_began, attempt_over, catalogue_read, roster_read,
-                           roster_changed, peers_read, decision::message_received, decision::drain_requested,
-                           decision::report_requested>;
+/// The relay has started without any request in progress; those that it had before are lost.
+struct relay_started {};
+
+using event = std::variant<relay_started, request_read, caller_left, answer_began, attempt_over,
+                           catalogue_read, roster_read, roster_changed, peers_read,
+                           decision::message_received, decision::drain_requested, decision::report_requested>;
 
 // What the dispatcher orders.
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -252,8 +252,7 @@
         return false;
     }
     const double limit = static_cast<double>(kind->engine->memory.value()) * memory_share * room;
-    return limit <= 0 || total.running == 0 ||
-           static_cast<double>((total.memory + memory).value()) <= limit;
+    return limit <= 0 || total.running == 0 || static_cast<double>((total.memory + memory).value()) <= limit;
 }
 
 std::optional<placement_choice> placement::choose(const placement_request& what, base::time_point now) {
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -22,7 +22,9 @@
     : links_(links), settings_(std::move(settings)), clock_(time) {}
 
 void dispatch_worker::run(base::stop_signal& stop) {
-    links_.events.reopen();
+    if (links_.events.closed()) {
+        links_.events.reopen();
+    }
     const base::scope_guard close([this] { links_.events.close(); });
     published_ = {};
     links_.state.publish(std::make_shared<router_state>());
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -40,7 +40,7 @@
         backlog_.clear();
         body_bytes_ = 0;
     });
-    seen_ = std::make_shared<dispatch::router_state>();
+    push(dispatch::relay_started{});
     server_ = std::make_unique<server>(settings_.callers, settings_.max_callers, loop_,
                                        static_cast<request_handler&>(*this));
     while (!stop.requested()) {
@@ -58,11 +58,13 @@
 }
 
 dispatch::caller_limits relay::limits() const {
-    return seen_->catalogue ? seen_->catalogue->limits : dispatch::caller_limits{};
+    const std::shared_ptr<const dispatch::router_state> now = state_.current();
+    return now && now->catalogue ? now->catalogue->limits : dispatch::caller_limits{};
 }
 
 bool relay::closing() const {
-    return seen_->draining;
+    const std::shared_ptr<const dispatch::router_state> now = state_.current();
+    return now && now->draining;
 }
 
 relay::exchange* relay::find(dispatch::session_id id) {
@@ -140,11 +142,7 @@
     while (std::optional<dispatch::relay_command> next = commands_.pop(base::duration::zero())) {
         std::visit([this](const auto& order) { carry_out(order); }, *next);
     }
-    std::shared_ptr<const dispatch::router_state> now = state_.current();
-    if (now) {
-        seen_ = std::move(now);
-    }
-    if (seen_->draining && !std::exchange(was_draining_, true)) {
+    if (closing() && !std::exchange(was_draining_, true)) {
         server_->close_idle();
     }
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -116,7 +116,6 @@
     poller poller_;
     timer_queue timers_;
     loop_context loop_;
-    std::shared_ptr<const dispatch::router_state> seen_;
     std::unique_ptr<server> server_;
     std::unordered_map<dispatch::session_id, std::unique_ptr<exchange>> exchanges_;
     std::unordered_map<const caller*, dispatch::session_id> by_caller_;
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -157,9 +157,10 @@
     : settings_(std::move(settings)), adapters_(std::move(adapters)), codec_(settings_.fleet),
       events_(event_capacity), commands_(command_capacity), datagrams_(datagram_capacity),
       root_("root", base::restart_strategy::rest_for_one, root_limit, clock_) {
-    add_store();
-    add_fleet();
+    // The others tell the dispatcher what it has to know, so they start again after it.
     add_dispatch();
+    add_fleet();
+    add_store();
     add_relay();
 }
 
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -45,6 +45,10 @@
             failures_ = 0;
             failing_since_.reset();
             at = *got;
+            if (std::exchange(stale_, false)) {
+                at.reset();
+                stop.wait_for(settings_.first_pause);
+            }
             continue;
         }
         at.reset();
@@ -72,9 +76,14 @@
 }
 
 void follower::tell(dispatch::event what) {
-    if (events_.push(std::move(what), ring_wait) != base::push_result::pushed) {
+    const base::push_result pushed = events_.push(std::move(what), ring_wait);
+    if (pushed == base::push_result::full) {
         throw base::fatal_error({base::error_code::worker_failed, name(), "the dispatcher takes no events"});
     }
+    if (pushed == base::push_result::closed) {
+        // The dispatcher is about to start again and needs everything anew.
+        stale_ = true;
+    }
 }
 
 base::result<position> catalogue_follower::read(bool /*after_outage*/) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -53,6 +53,8 @@
     const follower_settings settings_;
     std::mt19937_64 random_;
     std::uint32_t failures_ = 0;
+    /// An event found the ring closed.
+    bool stale_ = false;
     std::optional<base::time_point> failing_since_;
 };
 
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,558 @@
+#include "base/metrics.h"
+#include "base/supervisor.h"
+#include "dispatch/worker.h"
+#include "http/parser.h"
+#include "http/socket.h"
+#include "platform/dialect.h"
+#include "relay/relay.h"
+#include "relay/splitter.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+
+namespace {
+
+using namespace bluebell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds patience(3000);
+
+std::uint16_t port_of(const http::descriptor& socket) {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(socket.number(), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+bool readable(const http::descriptor& socket, milliseconds timeout) {
+    pollfd watched{socket.number(), POLLIN, 0};
+    return ::poll(&watched, 1, static_cast<int>(timeout.count())) > 0;
+}
+
+/// A blocking end of a connection.
+class wire {
+public:
+    explicit wire(http::descriptor socket) : socket_(std::move(socket)) {}
+    static wire to(std::uint16_t port) { return wire(std::move(*http::connect_to({"127.0.0.1", port}))); }
+
+    void send(std::string_view bytes) {
+        while (!bytes.empty()) {
+            const http::transfer put = http::write_some(socket_, bytes);
+            if (put.ended) {
+                return;
+            }
+            bytes.remove_prefix(put.bytes);
+            if (put.bytes == 0) {
+                pollfd watched{socket_.number(), POLLOUT, 0};
+                ::poll(&watched, 1, 100);
+            }
+        }
+    }
+    /// Reads until `done` says so, the connection ends or time is up.
+    std::string read_until(const std::function<bool(const std::string&)>& done) {
+        std::string all;
+        while (!done(all) && readable(socket_, patience)) {
+            std::array<char, 4096> buffer{};
+            const http::transfer got = http::read_some(socket_, buffer.data(), buffer.size());
+            all.append(buffer.data(), got.bytes);
+            if (got.ended) {
+                ended_ = true;
+                break;
+            }
+        }
+        return all;
+    }
+    std::string read_answer() {
+        return read_until([](const std::string& text) {
+            http::response_parser parser;
+            parser.next(true);
+            std::string body;
+            return parser.feed(text, body).has_value() && parser.complete();
+        });
+    }
+    std::string read_request() {
+        return read_until([](const std::string& text) {
+            http::request_parser parser({65536, 1U << 20U});
+            return parser.feed(text).has_value() && parser.complete();
+        });
+    }
+    std::string read_to_end() {
+        return read_until([](const std::string&) { return false; });
+    }
+    [[nodiscard]] bool ended() const { return ended_; }
+    [[nodiscard]] bool has_more(milliseconds timeout) const { return readable(socket_, timeout); }
+    void close() { socket_.close(); }
+    void reset() {
+        const linger now{1, 0};
+        setsockopt(socket_.number(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        socket_.close();
+    }
+
+private:
+    http::descriptor socket_;
+    bool ended_ = false;
+};
+
+/// An upstream whose answers the test writes by hand.
+class fake_upstream {
+public:
+    fake_upstream() : listener_(std::move(*http::listen_on({"127.0.0.1", 0}))) {}
+    wire accept() {
+        REQUIRE(readable(listener_, patience));
+        return wire(std::move(*http::accept_from(listener_)));
+    }
+    [[nodiscard]] bool is_called(milliseconds timeout) const { return readable(listener_, timeout); }
+    [[nodiscard]] std::uint16_t port() const { return port_of(listener_); }
+
+private:
+    http::descriptor listener_;
+};
+
+std::uint16_t free_port() {
+    const http::descriptor probe = std::move(*http::listen_on({"127.0.0.1", 0}));
+    return port_of(probe);
+}
+
+std::string ok(const std::string& trace, const std::string& body, const std::string& more = "") {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + trace + "\r\nX-Response-Seal: s\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string stream_head(const std::string& trace) {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + trace +
+           "\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string& text) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+std::string request(const std::string& path, const std::string& trace, const std::string& more = "",
+                    const std::string& method = "GET") {
+    return method + ' ' + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + trace +
+           "\r\nX-Deadline-Ms: 5000\r\n" + more + "\r\n";
+}
+
+/// Relay and dispatcher as in a router, with upstreams of the test.
+class router {
+public:
+    router()
+        : events_(1024), commands_(1024), datagrams_(64), port_(free_port()),
+          tree_("test", base::restart_strategy::one_for_one, {0, seconds(1)}, clock_) {
+        dispatch::dispatcher_settings decisions;
+        decisions.member.self = base::vm_id("r1");
+        decisions.member.life = base::incarnation(1);
+        decisions.member.address = {"127.0.0.1", 1};
+        decisions.retry_ratio = 1;
+        decisions.retry_slack = 1000;
+        tree_.add(std::make_unique<dispatch::dispatch_worker>(
+            dispatch::dispatch_links{events_, commands_, datagrams_, state_}, [decisions] { return decisions; },
+            clock_));
+        relay::relay_settings path;
+        path.callers = {"127.0.0.1", port_};
+        tree_.add(std::make_unique<relay::relay>(path, speech_, commands_, events_, state_, clock_, metrics_));
+        tree_.start([](const base::error&) {});
+        configure();
+    }
+    router(const router&) = delete;
+    router& operator=(const router&) = delete;
+    router(router&&) = delete;
+    router& operator=(router&&) = delete;
+    ~router() { tree_.stop(); }
+
+    wire call() { return wire::to(port_); }
+    fake_upstream& upstream(std::size_t i = 0) { return upstreams_.at(i); }
+
+    /// The upstream that is called next, and its connection.
+    wire accept_any() {
+        for (int i = 0; i < 300; ++i) {
+            for (fake_upstream& each : upstreams_) {
+                if (each.is_called(milliseconds(5))) {
+                    return each.accept();
+                }
+            }
+        }
+        FAIL("no upstream was called");
+        throw std::logic_error("unreachable");
+    }
+    [[nodiscard]] bool any_called(milliseconds timeout) const {
+        for (const fake_upstream& each : upstreams_) {
+            if (each.is_called(timeout)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    void configure() {
+        std::shared_ptr<dispatch::catalogue> made = std::make_shared<dispatch::catalogue>();
+        made->version = base::revision(1);
+        const base::pool_id pool("p");
+        const auto add = [&](const std::string& prefix, dispatch::route_kind kind, bool resumable) {
+            dispatch::route route;
+            route.id = dispatch::route_id(prefix);
+            route.host = "h.example";
+            route.prefix = prefix;
+            route.kind = kind;
+            route.timeout = milliseconds(4000);
+            route.objective = milliseconds(500);
+            route.max_attempts = 2;
+            route.anonymous = prefix != "/keyed/";
+            route.resumable = resumable;
+            route.pools = {{pool, 1}};
+            made->routes.push_back(route);
+        };
+        add("/look/", dispatch::route_kind::safe, false);
+        add("/order/", dispatch::route_kind::unsafe, false);
+        add("/keyed/", dispatch::route_kind::unsafe, false);
+        add("/text/", dispatch::route_kind::streaming, false);
+        add("/long/", dispatch::route_kind::streaming, true);
+        made->keys["secret"] = base::client_account_id("acme");
+        made->pools[pool].id = pool;
+        made->pools[pool].max_connections = 500;
+        made->limits.head_bytes = 2048;
+        made->limits.body_bytes = 100000;
+        made->limits.head_timeout = milliseconds(300);
+        made->limits.idle_timeout = milliseconds(1500);
+        made->index();
+        events_.push(dispatch::catalogue_read{made, clock_.now()}, seconds(1));
+        dispatch::roster_read list;
+        for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+            dispatch::upstream_entry entry;
+            entry.id = base::upstream_id("u" + std::to_string(i));
+            entry.pool = pool;
+            entry.address = {"127.0.0.1", upstreams_.at(i).port()};
+            entry.slots = base::slot_count(50);
+            list.entries.push_back(entry);
+        }
+        events_.push(list, seconds(1));
+        for (int i = 0; i < 400; ++i) {
+            const std::shared_ptr<const dispatch::router_state> state = state_.current();
+            if (state && state->ready) {
+                return;
+            }
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        FAIL("the router did not become ready");
+    }
+
+    base::boot_clock clock_;
+    base::metrics metrics_;
+    platform::dialect speech_;
+    base::ring<dispatch::event> events_;
+    base::ring<dispatch::relay_command> commands_;
+    base::ring<decision::datagram> datagrams_;
+    base::snapshot<dispatch::router_state> state_;
+    std::array<fake_upstream, 2> upstreams_;
+    const std::uint16_t port_;
+    base::supervisor tree_;
+};
+
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a request goes to an upstream with the router's fields only and its answer comes back whole") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/keyed/1?x=y", "t1",
+                        "Authorization: Bearer secret\r\nX-Tenant: other\r\nX-Hold: 1\r\nKv-From: 1.2.3.4:5/x\r\n"
+                        "Connection: X-Private\r\nX-Private: 1\r\nX-Kept: 2\r\nContent-Length: 3\r\n",
+                        "POST") +
+                "abc");
+    wire upstream = fleet.accept_any();
+    const std::string got = upstream.read_request();
+    CHECK(contains(got, "POST /keyed/1?x=y HTTP/1.1\r\n"));
+    CHECK(contains(got, "X-Tenant: acme\r\n"));
+    CHECK(contains(got, "X-Kept: 2\r\n"));
+    CHECK(contains(got, "X-Expect-Instance: u"));
+    CHECK(contains(got, "\r\n\r\nabc"));
+    for (const char* const hidden : {"Bearer", "X-Hold", "Kv-From", "other", "X-Private"}) {
+        CHECK_FALSE(contains(got, hidden));
+    }
+    upstream.send(ok("t1", "answer"));
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 200"));
+    CHECK(contains(answer, "X-Response-Seal: s"));
+    CHECK(contains(answer, "\r\n\r\nanswer"));
+}
+
+TEST_CASE("requests that are sent at once on one connection are answered in order") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/look/1", "t1") + request("/look/2", "t2"));
+    wire first = fleet.accept_any();
+    CHECK(contains(first.read_request(), "/look/1"));
+    first.send(ok("t1", "one", "Keep-Alive: timeout=5\r\n"));
+    CHECK(contains(caller.read_answer(), "one"));
+    const bool kept = first.has_more(milliseconds(200));
+    wire second = kept ? std::move(first) : fleet.accept_any();
+    CHECK(contains(second.read_request(), "/look/2"));
+    second.send(ok("t2", "two"));
+    CHECK(contains(caller.read_answer(), "two"));
+}
+
+TEST_CASE("an answer to another request is skipped") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/look/1", "t1"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    upstream.send(ok("stray", "wrong") + ok("t1", "right"));
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "right"));
+    CHECK_FALSE(contains(answer, "wrong"));
+}
+
+TEST_CASE("a second answer after the first one reaches nobody") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/look/1", "t1"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    upstream.send(ok("t1", "one", "Keep-Alive: timeout=5\r\n"));
+    CHECK(contains(caller.read_answer(), "one"));
+    upstream.send(ok("t1", "again"));
+    CHECK_FALSE(caller.has_more(milliseconds(100)));
+    caller.send(request("/look/2", "t2"));
+    wire next = fleet.accept_any();
+    CHECK(contains(next.read_request(), "/look/2"));
+    next.send(ok("t2", "two"));
+    CHECK(contains(caller.read_answer(), "two"));
+}
+
+TEST_CASE("a truncated answer that may be repeated is replaced, and the caller sees one answer") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/look/1", "t1"));
+    wire first = fleet.accept_any();
+    first.read_request();
+    first.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\nContent-Length: 9\r\n\r\npart");
+    first.close();
+    wire second = fleet.accept_any();
+    second.read_request();
+    second.send(ok("t1", "complete"));
+    CHECK(contains(caller.read_answer(), "complete"));
+}
+
+TEST_CASE("an unsafe request whose connection is reset gets 502 and is not sent again") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    upstream.reset();
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 502"));
+    CHECK_FALSE(fleet.any_called(milliseconds(100)));
+}
+
+TEST_CASE("a success without the upstream's mark is not passed on") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    upstream.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nContent-Length: 2\r\n\r\nno");
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 502"));
+}
+
+TEST_CASE("a 503 of an upstream that does not say that it did not run becomes 502") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    upstream.send("HTTP/1.1 503 No\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n");
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 502"));
+    CHECK_FALSE(contains(answer, "X-Response-Seal"));
+}
+
+TEST_CASE("an unsafe request that one upstream did not run goes to another one") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = fleet.accept_any();
+    first.read_request();
+    first.send("HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    wire second = fleet.accept_any();
+    second.read_request();
+    second.send(ok("t1", "done"));
+    CHECK(contains(caller.read_answer(), "done"));
+}
+
+TEST_CASE("the connection is not used again after an answer that came before the whole request was sent") {
+    router fleet;
+    wire caller = fleet.call();
+    const std::string body(90000, 'b');
+    caller.send(request("/order/1", "t1", "Content-Length: 90000\r\n", "POST") + body);
+    wire upstream = fleet.accept_any();
+    upstream.read_until([](const std::string& text) { return contains(text, "\r\n\r\n"); });
+    upstream.send("HTTP/1.1 400 Bad\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n"
+                  "Keep-Alive: timeout=9\r\n\r\n");
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 400"));
+}
+
+TEST_CASE("an answer without a length is whole if its connection was closed in order") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    upstream.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n\r\nunframed");
+    const bool orderly = GENERATE(true, false);
+    if (orderly) {
+        upstream.close();
+        CHECK(contains(caller.read_answer(), "unframed"));
+    } else {
+        std::this_thread::sleep_for(milliseconds(50));
+        upstream.reset();
+        CHECK(contains(caller.read_answer(), "HTTP/1.1 502"));
+    }
+}
+
+TEST_CASE("events are passed on as they arrive, and a stream that is cut does not look complete") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/text/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    upstream.send(stream_head("t1") + chunk("id: 1\ndata: a\n\n"));
+    CHECK(contains(caller.read_until([](const std::string& text) { return contains(text, "data: a\n\n"); }),
+                   "data: a\n\n"));
+    upstream.reset();
+    const std::string rest = caller.read_to_end();
+    CHECK(caller.ended());
+    CHECK_FALSE(contains(rest, "0\r\n\r\n"));
+}
+
+TEST_CASE("a resumable stream goes on at another upstream after its last whole event") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/long/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = fleet.accept_any();
+    first.read_request();
+    first.send(stream_head("t1") + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\nda"));
+    caller.read_until([](const std::string& text) { return contains(text, "data: a\n\n"); });
+    first.reset();
+    wire second = fleet.accept_any();
+    CHECK(contains(second.read_request(), "Last-Event-Id: 1\r\n"));
+    second.send(stream_head("t1") + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    const std::string rest = caller.read_until([](const std::string& text) { return contains(text, "0\r\n\r\n"); });
+    CHECK(contains(rest, "id: 2\ndata: b\n\n"));
+    CHECK_FALSE(contains(rest, "HTTP/1.1"));
+    CHECK(rest.find("id: 2") == rest.rfind("id: 2"));
+}
+
+TEST_CASE("the upstream's connection ends when the caller leaves, also before the first event") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/text/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    if (GENERATE(true, false)) {
+        upstream.send(stream_head("t1") + chunk("id: 1\n\n"));
+        caller.read_until([](const std::string& text) { return contains(text, "id: 1"); });
+    }
+    caller.close();
+    upstream.read_to_end();
+    CHECK(upstream.ended());
+}
+
+TEST_CASE("a caller that does not read holds its upstream back and loses nothing") {
+    router fleet;
+    wire caller = fleet.call();
+    caller.send(request("/text/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    const std::string event = "data: " + std::string(8000, 'x') + "\n\n";
+    constexpr int events = 1500;
+    std::thread writer([&] {
+        upstream.send(stream_head("t1"));
+        for (int i = 0; i < events; ++i) {
+            upstream.send(chunk(event));
+        }
+        upstream.send("0\r\n\r\n");
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    std::size_t read = 0;
+    std::string tail;
+    while (tail.size() < 5 || tail.substr(tail.size() - 5) != "0\r\n\r\n") {
+        const std::string part = caller.read_until([](const std::string& text) { return !text.empty(); });
+        if (part.empty()) {
+            break;
+        }
+        read += part.size();
+        tail = (tail + part).substr(std::max<std::size_t>((tail + part).size(), 5) - 5);
+    }
+    writer.join();
+    CHECK(read > event.size() * events);
+    CHECK(tail == "0\r\n\r\n");
+}
+
+TEST_CASE("requests over the limits or without sense get their 4xx and the connection is closed") {
+    router fleet;
+    const auto answer_to = [&](const std::string& bytes) {
+        wire caller = fleet.call();
+        caller.send(bytes);
+        const std::string answer = caller.read_to_end();
+        CHECK(caller.ended());
+        return answer;
+    };
+    CHECK(contains(answer_to(request("/look/1", "t", "X: " + std::string(3000, 'a') + "\r\n")), "431"));
+    CHECK(contains(answer_to(request("/order/1", "t", "Content-Length: 100001\r\n", "POST")), "413"));
+    CHECK(contains(answer_to("nonsense\r\n\r\n"), "400"));
+    CHECK(contains(answer_to("GET /look/1 HTTP/1.1\r\nHost:"), "408"));
+    CHECK(contains(answer_to(request("/order/1", "t", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                                     "POST") +
+                             "0\r\n\r\n"),
+                   "400"));
+    CHECK_FALSE(fleet.any_called(milliseconds(50)));
+}
+
+TEST_CASE("a request that its upstream never answers ends with 504 at the route's timeout") {
+    router fleet;
+    wire caller = fleet.call();
+    const base::time_point start = base::boot_clock().now();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = fleet.accept_any();
+    upstream.read_request();
+    const std::string answer =
+        caller.read_until([](const std::string& text) { return contains(text, "\r\n\r\n"); });
+    const std::string later = answer.empty() ? caller.read_answer() : answer;
+    CHECK(contains(later, "HTTP/1.1 504"));
+    CHECK(base::boot_clock().now() - start < milliseconds(4500));
+    upstream.read_to_end();
+    CHECK(upstream.ended());
+}
+
+TEST_CASE("an idle connection is closed after the idle time") {
+    router fleet;
+    wire caller = fleet.call();
+    CHECK(caller.read_to_end().empty());
+    CHECK(caller.ended());
+}
+
+TEST_CASE("events are divided at blank lines wherever the bytes are cut") {
+    const std::string stream = "id: 1\ndata: a\n\nx-weight-versions: 2\nid: 2\r\ndata: b\r\n\r\nid: 3\nda";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        relay::event_splitter splitter;
+        std::string whole = splitter.feed(std::string_view(stream).substr(0, cut));
+        whole += splitter.feed(std::string_view(stream).substr(cut));
+        REQUIRE(whole == stream.substr(0, stream.size() - 8));
+        REQUIRE(splitter.last_id() == "2");
+        REQUIRE(splitter.events() == 2);
+        REQUIRE(splitter.partial());
+    }
+}
