--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <charconv>
+#include <sstream>
 
 namespace bluebell::base {
 namespace {
@@ -150,6 +151,20 @@
             std::move(lowest),  std::move(highest), {},   std::move(description)};
 }
 
+std::string describe_settings(const std::vector<setting_spec>& schema) {
+    std::ostringstream table;
+    table << "| section | key | type | range | default | meaning |\n| --- | --- | --- | --- | --- | --- |\n";
+    for (const setting_spec& spec : schema) {
+        std::string range = spec.lowest.empty() ? "" : spec.lowest + " to " + spec.highest;
+        for (const std::string& choice : spec.choices) {
+            range += (range.empty() ? "" : ", ") + choice;
+        }
+        table << "| " << spec.section << " | " << spec.key << " | " << to_string(spec.type) << " | " << range
+              << " | " << spec.fallback.value_or("required") << " | " << spec.description << " |\n";
+    }
+    return table.str();
+}
+
 std::string_view to_string(setting_type type) {
     switch (type) {
     case setting_type::text:
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -46,6 +46,9 @@
 setting_spec ranged_setting(std::string section, std::string key, setting_type type, std::string fallback,
                             std::string lowest, std::string highest, std::string description);
 
+/// A schema as the table of its page.
+std::string describe_settings(const std::vector<setting_spec>& schema);
+
 /// IP number and port.
 struct address {
     std::string ip;
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -11,7 +11,7 @@
 
 namespace bluebell::ctl {
 
-/// Exit codes, documented in docs/operations.md.
+/// Exit codes, documented in docs/OPERATIONS.md.
 enum class exit_code {
     done = 0,
     failed = 1,     ///< the store or a router does not answer
--- a/src/root/options.cpp
+++ b/src/root/options.cpp
@@ -152,17 +152,7 @@
 }
 
 std::string describe_options() {
-    std::ostringstream table;
-    table << "| section | key | type | range | default | meaning |\n| --- | --- | --- | --- | --- | --- |\n";
-    for (const setting_spec& spec : option_schema()) {
-        std::string range = spec.lowest.empty() ? "" : spec.lowest + " to " + spec.highest;
-        for (const std::string& choice : spec.choices) {
-            range += (range.empty() ? "" : ", ") + choice;
-        }
-        table << "| " << spec.section << " | " << spec.key << " | " << to_string(spec.type) << " | " << range
-              << " | " << spec.fallback.value_or("required") << " | " << spec.description << " |\n";
-    }
-    return table.str();
+    return base::describe_settings(option_schema());
 }
 
 } // namespace bluebell::root
