--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher.h"
 
+#include "base/hash.h"
 #include "base/log.h"
 
 #include <algorithm>
@@ -636,6 +637,9 @@
             placement_.drop_peer(change.vm);
             share_.drop(change.vm);
         }
+        if (change.kind != decision::member_change_kind::left) {
+            inform(change.vm);
+        }
     }
     if (!admitted) {
         return;
@@ -690,6 +694,19 @@
     }
 }
 
+/// One of the others tells a router that has just started which parts the engines keep.
+void dispatcher::inform(const base::vm_id& newcomer) {
+    std::vector<base::vm_id> others = members_.live();
+    others.erase(std::remove(others.begin(), others.end(), newcomer), others.end());
+    const std::optional<decision::endpoint> to = members_.control_address(newcomer);
+    if (!to || base::rendezvous_owner(newcomer.value(), others) != members_.self()) {
+        return;
+    }
+    for (decision::upstream_work& work : placement_.known_work()) {
+        output_.datagrams.push_back({*to, {header(), decision::work_report{{std::move(work)}, {}}}});
+    }
+}
+
 void dispatcher::send_messages() {
     for (decision::outgoing& each : members_.take_outgoing()) {
         if (const std::optional<decision::endpoint> to = members_.control_address(each.to)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -136,6 +136,7 @@
     void confirm_crash(const base::upstream_id& upstream);
     void spread(const decision::crash_report& what);
     void send_report();
+    void inform(const base::vm_id& newcomer);
     void send_messages();
     [[nodiscard]] decision::message_header header();
     void update_budget();
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace bluebell::dispatch {
 namespace {
@@ -55,11 +56,28 @@
     if (found == used_.end() || room.value() <= 0) {
         return 0;
     }
-    const double age = static_cast<double>((clock_ - found->second).value()) /
-                       static_cast<double>(room.value());
+    const double age =
+        static_cast<double>((clock_ - found->second).value()) / static_cast<double>(room.value());
     return std::clamp((gone_age - age) / (gone_age - sure_age), 0.0, 1.0);
 }
 
+std::vector<part_id> part_cache::kept(token_count room, std::size_t limit) const {
+    std::vector<std::pair<token_count, part_id>> recent;
+    for (const auto& [part, used] : used_) {
+        if (clock_ - used < room) {
+            recent.emplace_back(used, part);
+        }
+    }
+    const std::size_t count = std::min(limit, recent.size());
+    std::partial_sort(recent.begin(), recent.begin() + static_cast<std::ptrdiff_t>(count), recent.end(),
+                      [](const auto& a, const auto& b) { return b.first < a.first; });
+    std::vector<part_id> parts;
+    for (std::size_t i = 0; i < count; ++i) {
+        parts.push_back(recent[i].second);
+    }
+    return parts;
+}
+
 void part_cache::expire(token_count room) {
     for (auto entry = used_.begin(); entry != used_.end();) {
         entry = clock_ - entry->second >= room ? used_.erase(entry) : std::next(entry);
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -48,6 +48,8 @@
     /// Probability that the engine still keeps the part. `room` is the memory that running requests leave for
     /// kept parts.
     [[nodiscard]] double holds(part_id part, token_count room) const;
+    /// Parts that are probably kept, at most `limit`, the most recently used first.
+    [[nodiscard]] std::vector<part_id> kept(token_count room, std::size_t limit) const;
     /// Forgets parts that were used before `room` tokens were stored. To be called now and then.
     void expire(token_count room);
     void clear() { used_.clear(); }
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -33,6 +33,8 @@
 constexpr double home_weight = 0.5;
 /// Part of a prompt that has to be read again from which on the placement counts as cold.
 constexpr double cold_share = 0.15;
+/// Parts of one engine that a router which has just joined is told; they fit into one datagram.
+constexpr std::size_t parts_told = 90;
 /// Weight of a delay up to and beyond the comfortable time to the first event.
 constexpr double early_weight = 0.25;
 constexpr double tardy_weight = 1.5;
@@ -134,11 +136,35 @@
     }
 }
 
+const pool* placement::pool_of(const base::upstream_id& upstream) const {
+    const auto entry = entries_.find(upstream);
+    return entry == entries_.end() || !catalogue_ ? nullptr : catalogue_->find(entry->second.pool);
+}
+
+std::vector<decision::upstream_work> placement::known_work() const {
+    std::vector<decision::upstream_work> told;
+    for (const auto& [id, state] : states_) {
+        const pool* const kind = pool_of(id);
+        if (kind == nullptr || !kind->engine) {
+            continue;
+        }
+        decision::upstream_work work{id,
+                                     state.own.running,
+                                     static_cast<std::uint64_t>(state.own.pending.value()),
+                                     static_cast<std::uint64_t>(state.own.memory.value()),
+                                     static_cast<std::uint64_t>(state.stored.value()),
+                                     {}};
+        for (const part_id part : state.cache.kept(room_for_parts(state, *kind), parts_told)) {
+            work.parts.push_back(part.value());
+        }
+        told.push_back(std::move(work));
+    }
+    return told;
+}
+
 void placement::expire_parts() {
     for (auto& [id, state] : states_) {
-        const auto entry = entries_.find(id);
-        const pool* const kind =
-            entry == entries_.end() || !catalogue_ ? nullptr : catalogue_->find(entry->second.pool);
+        const pool* const kind = pool_of(id);
         if (kind != nullptr && kind->engine) {
             state.cache.expire(kind->engine->memory * 2);
         }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -67,6 +67,8 @@
     /// Brings the sums of the peers' work up to date.
     void update(base::time_point now);
     [[nodiscard]] std::vector<decision::upstream_work> own_work();
+    /// The same with the parts that each engine probably keeps, for a router that has just joined.
+    [[nodiscard]] std::vector<decision::upstream_work> known_work() const;
     /// Prompt tokens placed since the last `own_work`.
     [[nodiscard]] token_count unreported() const { return unreported_; }
 
@@ -106,6 +108,7 @@
     [[nodiscard]] token_count room_for_parts(const upstream_state& state, const pool& kind) const;
     base::duration price(const placement_request& what, const upstream_entry& entry, bool home,
                          placement_choice& choice);
+    [[nodiscard]] const pool* pool_of(const base::upstream_id& upstream) const;
     [[nodiscard]] static base::duration felt(base::duration delay, base::duration comfortable);
     void expire_parts();
     [[nodiscard]] std::optional<base::upstream_id> home(const placement_request& what) const;
--- a/src/fleet/sender.cpp
+++ b/src/fleet/sender.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Longest time from the request to stop until the worker notices it.
-constexpr base::duration pop_wait = std::chrono::milliseconds(500);
+constexpr base::duration pop_wait = std::chrono::milliseconds(200);
 
 } // namespace
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,19 +3,27 @@
 #include <algorithm>
 #include <array>
 #include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <utility>
 
 namespace bluebell::http {
 namespace {
 
 constexpr std::size_t read_size = 16384;
-/// Longest wait without a look at `interrupt`.
-constexpr base::duration longest_wait = std::chrono::milliseconds(500);
-
 } // namespace
 
+client::client(decision::endpoint server, const base::clock& time)
+    : server_(std::move(server)), clock_(time), interruption_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (!interruption_.open()) {
+        throw base::fatal_error({base::error_code::socket_failure, "client", "no descriptor is left"});
+    }
+}
+
 void client::interrupt() {
     interrupted_ = true;
+    const std::uint64_t one = 1;
+    static_cast<void>(::write(interruption_.number(), &one, sizeof one));
 }
 
 bool client::wait(short events, base::time_point deadline) const {
@@ -24,10 +32,9 @@
         if (left <= base::duration::zero()) {
             return false;
         }
-        pollfd watched{socket_.number(), events, 0};
-        const base::duration next = std::min(left, longest_wait);
-        const int ms = static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(next).count());
-        if (::poll(&watched, 1, ms) > 0) {
+        std::array<pollfd, 2> watched{{{socket_.number(), events, 0}, {interruption_.number(), POLLIN, 0}}};
+        const int ms = static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(left).count());
+        if (::poll(watched.data(), watched.size(), ms) > 0 && watched[0].revents != 0) {
             return true;
         }
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -20,7 +20,8 @@
 /// Thread safety: used by one thread, except `interrupt`.
 class client {
 public:
-    client(decision::endpoint server, const base::clock& time) : server_(std::move(server)), clock_(time) {}
+    /// Throws `base::fatal_error` if no descriptor is left.
+    client(decision::endpoint server, const base::clock& time);
 
     /// Sends a request and waits up to `timeout` for the whole answer. A connection on which a call failed
     /// is not used again. Errors: `store_unavailable` (nothing was sent), `store_answer_lost` (the request
@@ -39,6 +40,8 @@
     const decision::endpoint server_;
     const base::clock& clock_;
     descriptor socket_;
+    /// Readable once the client is interrupted.
+    descriptor interruption_;
     std::atomic<bool> interrupted_{false};
 };
 
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -32,8 +32,8 @@
 constexpr std::int64_t reserved_descriptors = 1200;
 /// Part of the memory that bodies of requests in progress may take.
 constexpr std::uint64_t body_memory_part = 6;
-/// Time before the end of the grace period at which a drain gives up waiting.
-constexpr base::duration stop_margin = std::chrono::milliseconds(500);
+/// Time before the end of the grace period at which a drain gives up waiting; the workers need some of it.
+constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
 
 std::uint64_t system_seed() {
     std::random_device device;
--- a/src/store/directory.h
+++ b/src/store/directory.h
@@ -50,7 +50,8 @@
     virtual base::result<catalogue_reading> await_catalogue(position from, base::duration wait) = 0;
     virtual base::result<roster_reading> read_upstreams() = 0;
     virtual base::result<roster_changes> await_upstreams(position from, base::duration wait) = 0;
-    virtual base::result<std::vector<decision::vm_entry>> read_routers() = 0;
+    /// An answer that is not `exact` may be seconds old and costs less.
+    virtual base::result<std::vector<decision::vm_entry>> read_routers(bool exact) = 0;
     /// Enters this router, or replaces its entry.
     virtual base::result<void> announce_router(const decision::vm_entry& self) = 0;
     /// Ends a call in progress and all later ones.
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -11,6 +11,10 @@
 /// Interval between two looks at the entries of the other routers; those that start later introduce
 /// themselves.
 constexpr base::duration peer_interval = std::chrono::seconds(20);
+/// Reads after the start that have to be exact, and their interval: routers that start together enter
+/// themselves within a second.
+constexpr int start_reads = 3;
+constexpr base::duration start_interval = std::chrono::seconds(2);
 constexpr base::duration first_retry = std::chrono::milliseconds(200);
 constexpr base::duration longest_retry = std::chrono::seconds(3);
 constexpr base::duration ring_wait = std::chrono::seconds(1);
@@ -141,15 +145,23 @@
 
 void registrar::run(base::stop_signal& stop) {
     base::duration pause = first_retry;
+    int exact_reads = 0;
     while (!stop.requested()) {
         announced_ = announced_ || announce();
-        base::result<std::vector<decision::vm_entry>> peers = source_->read_routers();
+        const bool exact = exact_reads < start_reads;
+        base::result<std::vector<decision::vm_entry>> peers = source_->read_routers(exact);
         if (peers) {
             events_.push(dispatch::peers_read{std::move(*peers)}, ring_wait);
+            exact_reads += announced_ && exact ? 1 : 0;
         }
         const bool done = announced_ && peers;
-        stop.wait_for(jittered(done ? peer_interval : pause, random_));
-        pause = done ? first_retry : std::min(pause * 2, longest_retry);
+        if (!done) {
+            stop.wait_for(jittered(pause, random_));
+            pause = std::min(pause * 2, longest_retry);
+        } else {
+            stop.wait_for(jittered(exact ? start_interval : peer_interval, random_));
+            pause = first_retry;
+        }
     }
 }
 
