--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -151,6 +151,27 @@
             std::move(lowest),  std::move(highest), {},   std::move(description)};
 }
 
+setting_spec log_level_setting() {
+    return {"log",
+            "level",
+            setting_type::choice,
+            "info",
+            "",
+            "",
+            {"debug", "info", "warning", "error"},
+            "lowest level that is logged"};
+}
+
+log_level log_level_of(const std::string& text) {
+    if (text == "debug") {
+        return log_level::debug;
+    }
+    if (text == "warning") {
+        return log_level::warning;
+    }
+    return text == "error" ? log_level::error : log_level::info;
+}
+
 std::string describe_settings(const std::vector<setting_spec>& schema) {
     std::ostringstream table;
     table << "| section | key | type | range | default | meaning |\n| --- | --- | --- | --- | --- | --- |\n";
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ini.h"
+#include "base/log.h"
 #include "base/unit.h"
 
 #include <cstdint>
@@ -46,6 +47,11 @@
 setting_spec ranged_setting(std::string section, std::string key, setting_type type, std::string fallback,
                             std::string lowest, std::string highest, std::string description);
 
+/// The lowest level that is logged, as section `log` has it.
+setting_spec log_level_setting();
+/// Pre-condition: `text` is one of the choices of `log_level_setting`.
+log_level log_level_of(const std::string& text);
+
 /// A schema as the table of its page.
 std::string describe_settings(const std::vector<setting_spec>& schema);
 
--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -129,6 +129,21 @@
     std::shared_ptr<base::ring<state_report>> reply;
 };
 
+/// Asks the thread that takes `events` for its report. Errors: `not_ready` if it does not answer in time.
+/// Thread safety: any thread but that one.
+template <typename Event>
+base::result<state_report> ask_report(base::ring<Event>& events, base::duration timeout) {
+    const std::shared_ptr<base::ring<state_report>> reply = std::make_shared<base::ring<state_report>>(1);
+    if (events.push(report_requested{reply}, timeout) != base::push_result::pushed) {
+        return base::failure(base::error_code::not_ready, "decider", "the decider does not take requests");
+    }
+    std::optional<state_report> report = reply->pop(timeout);
+    if (!report) {
+        return base::failure(base::error_code::not_ready, "decider", "the decider did not answer in time");
+    }
+    return std::move(*report);
+}
+
 using event = std::variant<request_arrived, caller_gone, attempt_progress, attempt_ended, message_received,
                            release_read, store_failed, vms_listed, load_reported, journal_answered,
                            lease_answered, drain_requested, report_requested>;
--- a/src/root/daemon.cpp
+++ b/src/root/daemon.cpp
@@ -4,6 +4,7 @@
 #include "edge/callers.h"
 #include "fleet/receiver.h"
 #include "fleet/sender.h"
+#include "root/identity.h"
 #include "store/http.h"
 #include "store/journal.h"
 #include "store/release.h"
@@ -14,7 +15,6 @@
 #include <chrono>
 #include <exception>
 #include <optional>
-#include <random>
 #include <utility>
 
 namespace bluebell::root {
@@ -30,24 +30,6 @@
 constexpr base::restart_limit subtree_limit{5, std::chrono::seconds(10)};
 constexpr base::restart_limit root_limit{5, std::chrono::minutes(1)};
 
-std::uint64_t system_seed() {
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
-/// Start number of a router: wall clock in microseconds, so that a restarted process has a higher one without
-/// any memory. Peers correct it if the wall clock was set back.
-base::incarnation new_life() {
-    const std::chrono::system_clock::duration since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return base::incarnation(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
-}
-
-decision::endpoint to_endpoint(const base::address& from) {
-    return {from.ip, from.port};
-}
-
 template <typename T>
 decision::state_value depth(const std::string& name, const base::ring<T>& of) {
     return {name, "{\"size\":" + std::to_string(of.size()) +
@@ -221,16 +203,7 @@
 }
 
 base::result<decision::state_report> daemon::status() {
-    const std::shared_ptr<base::ring<decision::state_report>> reply =
-        std::make_shared<base::ring<decision::state_report>>(1);
-    if (events_.push(decision::report_requested{reply}, report_timeout) != base::push_result::pushed) {
-        return base::failure(base::error_code::not_ready, "decider", "the decider does not take requests");
-    }
-    std::optional<decision::state_report> report = reply->pop(report_timeout);
-    if (!report) {
-        return base::failure(base::error_code::not_ready, "decider", "the decider did not answer in time");
-    }
-    return std::move(*report);
+    return decision::ask_report(events_, report_timeout);
 }
 
 base::result<decision::state_report> daemon::dump() {
--- a/src/root/main.cpp
+++ b/src/root/main.cpp
@@ -2,11 +2,8 @@
 #include "edge/host.h"
 #include "fleet/socket.h"
 #include "root/daemon.h"
+#include "root/program.h"
 
-#include <cstring>
-#include <docopt/docopt.h>
-#include <exception>
-#include <fstream>
 #include <iostream>
 #include <optional>
 
@@ -39,26 +36,6 @@
   bluebelld --config /etc/bluebelld.ini
 )";
 
-constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
-
-std::optional<options> load_options(const std::string& file) {
-    std::ifstream in(file);
-    if (!in) {
-        std::cerr << file << ": settings_unreadable: " << std::strerror(errno) << '\n';
-        return std::nullopt;
-    }
-    const tl::expected<options, std::vector<bluebell::base::error>> read =
-        bluebell::root::read_options(in, file);
-    if (!read) {
-        for (const bluebell::base::error& fault : read.error()) {
-            std::cerr << fault.place << ": " << fault.code << ": " << fault.text << '\n';
-        }
-        return std::nullopt;
-    }
-    return *read;
-}
-
 /// Replaces port 0 by a free one, since peers and callers must learn the real one.
 void choose_ports(options& settings) {
     if (settings.callers.port == 0) {
@@ -90,27 +67,13 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    try {
-        std::map<std::string, docopt::value> args =
-            docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+    return bluebell::root::run_program(usage, "bluebelld", argc, argv, [](bluebell::root::arguments& args) {
         const bool check = args["--check-config"].isString();
-        std::optional<options> settings =
-            load_options(args[check ? "--check-config" : "--config"].asString());
+        const std::optional<options> settings = bluebell::root::load_options(
+            args[check ? "--check-config" : "--config"].asString(), bluebell::root::read_options);
         if (!settings) {
-            return exit_usage;
+            return bluebell::root::exit_usage;
         }
-        return check ? 0 : run(*settings);
-    } catch (const docopt::DocoptExitHelp&) {
-        std::cout << usage;
-        return 0;
-    } catch (const docopt::DocoptExitVersion&) {
-        std::cout << "bluebelld " BLUEBELL_VERSION "\n";
-        return 0;
-    } catch (const docopt::DocoptArgumentError& fault) {
-        std::cerr << "usage: " << fault.what() << "\n\n" << usage;
-        return exit_usage;
-    } catch (const std::exception& fault) {
-        std::cerr << "bluebelld: " << fault.what() << '\n';
-        return exit_failed;
-    }
+        return check ? bluebell::root::exit_good : run(*settings);
+    });
 }
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -5,11 +5,11 @@
 #include "fleet/receiver.h"
 #include "fleet/sender.h"
 #include "relay/ops.h"
+#include "root/identity.h"
 #include "store/follower.h"
 
 #include <chrono>
 #include <optional>
-#include <random>
 #include <utility>
 
 namespace bluebell::root {
@@ -35,24 +35,6 @@
 /// Time before the end of the grace period at which a drain gives up waiting; the workers need some of it.
 constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
 
-std::uint64_t system_seed() {
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
-/// Start number of a router: wall clock in microseconds, so that a restarted process has a higher one without
-/// any memory. Peers correct it if the wall clock was set back.
-base::incarnation new_life() {
-    const std::chrono::system_clock::duration since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return base::incarnation(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count()));
-}
-
-decision::endpoint to_endpoint(const base::address& from) {
-    return {from.ip, from.port};
-}
-
 std::vector<base::setting_spec> make_schema() {
     return {
         required_setting("vm", "name", setting_type::text, "name of this VM, unique in the fleet"),
@@ -86,27 +68,10 @@
                        "time from the signal to stop until the process is killed"),
         ranged_setting("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "5s",
                        "interval of the reports of work in progress to the other routers"),
-        {"log",
-         "level",
-         setting_type::choice,
-         "info",
-         "",
-         "",
-         {"debug", "info", "warning", "error"},
-         "lowest level that is logged"},
+        base::log_level_setting(),
     };
 }
 
-base::log_level level_of(const std::string& text) {
-    if (text == "debug") {
-        return base::log_level::debug;
-    }
-    if (text == "warning") {
-        return base::log_level::warning;
-    }
-    return text == "error" ? base::log_level::error : base::log_level::info;
-}
-
 node_options to_options(const base::settings& from) {
     node_options to;
     to.vm = base::vm_id(from.text("vm", "name"));
@@ -128,7 +93,7 @@
     to.retry_slack = from.decimal("bounds", "retry_slack");
     to.stop_limit = from.time("bounds", "stop");
     to.report_interval = from.time("schedule", "report_interval");
-    to.log = level_of(from.text("log", "level"));
+    to.log = base::log_level_of(from.text("log", "level"));
     return to;
 }
 
@@ -261,16 +226,7 @@
 }
 
 base::result<decision::state_report> node::status() {
-    const std::shared_ptr<base::ring<decision::state_report>> reply =
-        std::make_shared<base::ring<decision::state_report>>(1);
-    if (events_.push(decision::report_requested{reply}, report_timeout) != base::push_result::pushed) {
-        return base::failure(base::error_code::not_ready, "dispatcher", "takes no requests");
-    }
-    std::optional<decision::state_report> report = reply->pop(report_timeout);
-    if (!report) {
-        return base::failure(base::error_code::not_ready, "dispatcher", "did not answer in time");
-    }
-    return std::move(*report);
+    return decision::ask_report(events_, report_timeout);
 }
 
 std::string node::dump_text() {
--- a/src/root/options.cpp
+++ b/src/root/options.cpp
@@ -57,27 +57,10 @@
                              "10min", "longest silence within an answer"),
         base::ranged_setting("drain", "limit", setting_type::time_span, "1min", "1s", "1h",
                              "how long a stop waits for waiting requests"),
-        {"log",
-         "level",
-         setting_type::choice,
-         "info",
-         "",
-         "",
-         {"debug", "info", "warning", "error"},
-         "lowest level that is logged"},
+        base::log_level_setting(),
     };
 }
 
-base::log_level level_of(const std::string& text) {
-    if (text == "debug") {
-        return base::log_level::debug;
-    }
-    if (text == "warning") {
-        return base::log_level::warning;
-    }
-    return text == "error" ? base::log_level::error : base::log_level::info;
-}
-
 options to_options(const base::settings& from) {
     options to;
     to.vm = base::vm_id(from.text("vm", "name"));
@@ -104,7 +87,7 @@
     to.first_byte_timeout = from.time("upstream", "first_byte_timeout");
     to.between_bytes_timeout = from.time("upstream", "between_bytes_timeout");
     to.drain_limit = from.time("drain", "limit");
-    to.log = level_of(from.text("log", "level"));
+    to.log = base::log_level_of(from.text("log", "level"));
     return to;
 }
 
