--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Entry points for people and CI; the build itself is CMake's.
 BUILD := build
 PACKAGES := libcxxtools-dev libcereal-dev libboost-dev libspdlog-dev libdocopt-dev libexpected-dev \
-            catch2 libxxhash-dev librapidcheck-dev curl cmake ninja-build clang-format clang-tidy python3
+            catch2 libxxhash-dev librapidcheck-dev libhttp-parser-dev nlohmann-json3-dev curl \
+            cmake ninja-build clang-format clang-tidy python3
 SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 
 .PHONY: demo test build packages format check-format lint unit measure capacity clean
