Copy shared parts of prompts from engines that keep them

By the routers' logs 41% of the shared tokens were placed knowingly where they had to be read again: 57% because no engine was believed to keep them, 32% because those that did had long queues.

Change: parts of a router's running requests count as used until the end of the run and are reported again each second; a request that goes to an engine which keeps less than another one tells it to copy the rest from there, where the platform moves memory. Delivered requests are logged with first event and longest pause.

Tests: dispatch_test (copy instead of read, with the mechanism off it fails; parts of running requests, seen failing), platform_test.

--- a/src/dispatch/catalogue.h
+++ b/src/dispatch/catalogue.h
@@ -63,6 +63,8 @@
     base::slot_count slots{1};
     /// Memory for running requests and cached prompt parts.
     token_count memory;
+    /// Prompt tokens a ms that an engine can copy from the memory of another one; zero if it cannot.
+    double copied_tokens_per_ms = 0;
 };
 
 struct pool {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -364,7 +364,7 @@
     what.placed = {1, choice.uncached, what.memory};
     what.sent = now_;
     what.began = false;
-    placement_.sent(choice.upstream, what.placed, what.prompt);
+    placement_.sent(choice, what.placed, what.prompt);
     if (engine && what.attempt == 1) {
         share_.serve(what.account, what.price, now_);
     }
@@ -372,6 +372,10 @@
     order.id = what.id;
     order.attempt = what.attempt;
     order.target = *entry;
+    const upstream_entry* const donor = choice.donor ? roster_.find(*choice.donor) : nullptr;
+    if (donor != nullptr) {
+        order.donor = donor->address;
+    }
     order.account = what.account;
     order.deadline = what.deadline;
     order.streaming = what.via->kind == route_kind::streaming;
@@ -386,7 +390,8 @@
                      {"upstream", choice.upstream.value()},
                      {"first_event_ms", ms(choice.first_event)},
                      {"wait_ms", ms(choice.wait)},
-                     {"uncached", choice.uncached.value()}});
+                     {"uncached", choice.uncached.value()},
+                     {"donor", choice.donor ? choice.donor->value() : std::string()}});
 }
 
 void dispatcher::enqueue(session& what) {
@@ -453,7 +458,7 @@
     }
     session& on = found->second;
     on.began = true;
-    on.passed_on = true;
+    on.answered = now_;
     const pool* const kind = on.seen->find(on.pool);
     if (kind != nullptr && kind->engine) {
         placement_.began(on.target, on.pool, on.placed.pending, on.ahead, now_ - on.sent);
@@ -464,7 +469,7 @@
 
 void dispatcher::release_placed(session& what) {
     if (what.placed.running > 0) {
-        placement_.over(what.target, std::exchange(what.placed, {}));
+        placement_.over(what.target, std::exchange(what.placed, {}), what.prompt);
         queue_changed_ = true;
     }
 }
@@ -490,8 +495,11 @@
                          {"upstream", over.target.value()},
                          {"attempts", over.attempt},
                          {"queued_ms", ms(over.sent - over.arrived)},
+                         {"first_event_ms", ms((over.began ? over.answered : now_) - over.arrived)},
                          {"total_ms", ms(now_ - over.arrived)},
                          {"events", what.events},
+                         {"longest_pause_ms", ms(what.longest_pause)},
+                         {"route", over.via->id.value()},
                          {"version", over.seen->version.value()}});
         return forget(what.id);
     case attempt_outcome::held:
@@ -695,7 +703,7 @@
     if (peers.empty()) {
         return;
     }
-    const decision::work_report told{placement_.own_work(), share_.own(now_)};
+    const decision::work_report told{placement_.own_work(now_), share_.own(now_)};
     for (const base::vm_id& peer : peers) {
         if (const std::optional<decision::endpoint> to = members_.control_address(peer)) {
             output_.datagrams.push_back({*to, {header(), told}});
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -91,8 +91,8 @@
         token_count ahead;
         base::time_point sent;
         bool began = false;
-        /// A part of the answer was passed on.
-        bool passed_on = false;
+        /// When the answer began in this attempt.
+        base::time_point answered;
     };
     /// A request that was running when its connection broke, until it is clear whether the upstream crashed.
     struct suspect {
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -85,6 +85,8 @@
     token_count stored;
     /// Shared parts that this router used since its last report.
     std::vector<std::uint64_t> used_parts;
+    /// Shared parts of this router's running requests, with the number of those; the engine keeps them.
+    std::unordered_map<part_id, std::uint32_t> in_use;
     /// Observed time to the first event over the predicted one, smoothed.
     double slowness = 1;
     /// Share of the attempts that failed, smoothed.
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -92,6 +92,8 @@
     std::optional<load_report> load;
     /// Events of a stream that were passed on in this attempt.
     std::uint32_t events = 0;
+    /// Longest time between two parts of the answer in this attempt.
+    base::duration longest_pause{};
 };
 
 /// The configuration was read, or confirmed unchanged.
@@ -129,6 +131,8 @@
     session_id id;
     std::uint32_t attempt = 0;
     upstream_entry target;
+    /// Engine that keeps more of the prompt, from which the target is to copy it.
+    std::optional<decision::endpoint> donor;
     /// Empty if the route needs no key.
     base::client_account_id account;
     base::time_point deadline;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -42,6 +42,14 @@
 constexpr base::duration full_penalty = std::chrono::milliseconds(120);
 /// Interval at which parts that no engine can keep any more are forgotten.
 constexpr base::duration expiry_interval = std::chrono::seconds(2);
+/// Fewest prompt tokens that are worth copying from another engine, and the time that it takes besides the
+/// transfer.
+constexpr token_count least_copy(100);
+constexpr base::duration copy_setup = std::chrono::milliseconds(4);
+/// Engines that fail more than this share of their requests are no donors.
+constexpr double donor_failures = 0.3;
+/// Interval at which the parts of running requests are reported again.
+constexpr base::duration refresh_interval = std::chrono::seconds(1);
 constexpr double ns_per_ms = 1e6;
 /// Slots of an engine that are left free for requests that other routers have just placed: this many, and no
 /// more than this share of all. A request that finds no slot waits for the end of a whole stream.
@@ -171,11 +179,21 @@
     }
 }
 
-std::vector<decision::upstream_work> placement::own_work() {
+std::vector<decision::upstream_work> placement::own_work(base::time_point now) {
     std::vector<decision::upstream_work> told;
     std::set<base::upstream_id> named;
     unreported_ = {};
+    const bool refresh = now >= next_refresh_;
+    if (refresh) {
+        next_refresh_ = now + refresh_interval;
+    }
     for (auto& [id, state] : states_) {
+        for (const auto& [part, uses] : state.in_use) {
+            if (refresh) {
+                state.cache.touch(part);
+                state.used_parts.push_back(part.value());
+            }
+        }
         if (state.own.running == 0 && state.used_parts.empty() && reported_.count(id) == 0) {
             continue;
         }
@@ -241,27 +259,62 @@
     return token_count(static_cast<std::int64_t>(sum));
 }
 
+placement::keepers placement::find_keepers(const placement_request& what, const pool& kind,
+                                           base::time_point now) const {
+    keepers known;
+    if (kind.engine->copied_tokens_per_ms <= 0) {
+        return known;
+    }
+    for (const base::upstream_id& id : ready_.at(what.pool)) {
+        const upstream_state& state = states_.at(id);
+        if (now < state.down_until || state.failures > donor_failures) {
+            continue;
+        }
+        const token_count here = kept(what, state, kind);
+        if (here > known.most) {
+            known.second = std::exchange(known.first, id);
+            known.next = std::exchange(known.most, here);
+        } else if (here > known.next) {
+            known.second = id;
+            known.next = here;
+        }
+    }
+    return known;
+}
+
 /// Fills in what the choice of an engine means and returns its cost.
 base::duration placement::price(const placement_request& what, const upstream_entry& entry, bool home,
-                                placement_choice& choice) {
+                                const keepers& known, placement_choice& choice) {
     const upstream_state& state = states_[entry.id];
     const prefill_model& model = models_[what.pool];
     const pool& kind = *catalogue_->find(what.pool);
     const token_count own = what.prompt->parts.empty() ? token_count() : what.prompt->parts.back().tokens;
     const token_count shared = std::max(what.prompt->prompt - own, token_count());
     const token_count kept_here = kept(what, state, kind);
-    choice.uncached = std::max(what.prompt->prompt - kept_here, token_count(1));
+    const bool other = known.first && *known.first != entry.id;
+    const token_count copied = (other ? known.most : known.next) - kept_here;
+    token_count available = kept_here;
+    base::duration copying{};
+    if (copied >= least_copy) {
+        choice.donor = other ? known.first : known.second;
+        choice.copied = copied;
+        available += copied;
+        copying = copy_setup +
+                  base::duration(static_cast<base::duration::rep>(
+                      static_cast<double>(copied.value()) / kind.engine->copied_tokens_per_ms * ns_per_ms));
+    }
+    choice.uncached = std::max(what.prompt->prompt - available, token_count(1));
     choice.ahead = state.total().pending;
-    choice.first_event = std::chrono::duration_cast<base::duration>(
-        model.predict(choice.ahead + choice.uncached) * state.slowness);
+    choice.first_event = copying + std::chrono::duration_cast<base::duration>(
+                                       model.predict(choice.ahead + choice.uncached) * state.slowness);
     choice.wait = choice.first_event -
                   std::chrono::duration_cast<base::duration>(model.predict(choice.uncached) * state.slowness);
-    const double reread = static_cast<double>(std::max(shared - kept_here, token_count()).value());
+    const double reread = static_cast<double>(std::max(shared - available, token_count()).value());
     choice.cold = reread > cold_share * static_cast<double>(what.prompt->prompt.value());
     const double weight = (what.reread_weight - 1) * (home ? home_weight : 1);
     const base::duration penalty(
         static_cast<base::duration::rep>(reread / model.tokens_per_ms() * weight * ns_per_ms));
-    return felt(choice.first_event, what.comfortable) + penalty;
+    return felt(choice.first_event, what.comfortable) + penalty + copying;
 }
 
 bool placement::has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
@@ -287,6 +340,7 @@
     const pool* const kind = catalogue_->find(what.pool);
     const bool engine = kind != nullptr && kind->engine;
     const std::optional<base::upstream_id> kept_at = engine ? home(what) : std::nullopt;
+    const keepers known = engine ? find_keepers(what, *kind, now) : keepers{};
     std::uniform_int_distribution<base::duration::rep> jitter(0, spread.count());
     std::optional<placement_choice> best;
     base::duration best_cost{};
@@ -303,7 +357,7 @@
         choice.upstream = id;
         base::duration cost{};
         if (engine) {
-            cost = price(what, entry, kept_at == id, choice);
+            cost = price(what, entry, kept_at == id, known, choice);
             choice.full = !has_room(entry, state, kind, what.memory,
                                     choice.cold ? std::min(what.room, what.cold_room) : what.room);
         } else {
@@ -329,18 +383,19 @@
     return best && best->full ? std::nullopt : best;
 }
 
-void placement::sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt) {
-    upstream_state& state = states_[upstream];
+void placement::sent(const placement_choice& choice, const placed_work& work, const prompt_facts& prompt) {
+    upstream_state& state = states_[choice.upstream];
     state.own += work;
     unreported_ += work.pending;
     // What the answer adds counts from the start, since the memory is claimed as it grows.
-    const token_count added = work.memory - prompt.prompt + work.pending;
+    const token_count added = work.memory - prompt.prompt + work.pending + choice.copied;
     state.stored += added;
     state.cache.store(added);
     for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
         state.cache.touch(prompt.parts[i].id);
         if (i + 1 < prompt.parts.size()) {
             state.used_parts.push_back(prompt.parts[i].id.value());
+            ++state.in_use[prompt.parts[i].id];
         }
     }
 }
@@ -358,12 +413,25 @@
     model.observe(ahead + pending, elapsed);
 }
 
-void placement::over(const base::upstream_id& upstream, const placed_work& work) {
+void placement::over(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt) {
     const auto found = states_.find(upstream);
     if (found == states_.end()) {
         return;
     }
-    placed_work& own = found->second.own;
+    upstream_state& state = found->second;
+    // An engine drops no part that a running request uses, so age begins anew at its end.
+    for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+        const auto use = state.in_use.find(prompt.parts[i].id);
+        if (use == state.in_use.end()) {
+            continue;
+        }
+        if (--use->second == 0) {
+            state.in_use.erase(use);
+        }
+        state.cache.touch(prompt.parts[i].id);
+        state.used_parts.push_back(prompt.parts[i].id.value());
+    }
+    placed_work& own = state.own;
     own.running -= std::min(own.running, work.running);
     own.pending = std::max(own.pending - work.pending, token_count());
     own.memory = std::max(own.memory - work.memory, token_count());
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -41,6 +41,9 @@
     base::upstream_id upstream;
     /// Prompt tokens that the engine will have to read.
     token_count uncached;
+    /// Engine that keeps parts of the prompt which this one is to copy.
+    std::optional<base::upstream_id> donor;
+    token_count copied;
     /// Tokens that wait before it at the engine.
     token_count ahead;
     /// Predicted time from sending to the first event.
@@ -66,7 +69,7 @@
     void drop_peer(const base::vm_id& peer);
     /// Brings the sums of the peers' work up to date.
     void update(base::time_point now);
-    [[nodiscard]] std::vector<decision::upstream_work> own_work();
+    [[nodiscard]] std::vector<decision::upstream_work> own_work(base::time_point now);
     /// The same with the parts that each engine probably keeps, for a router that has just joined.
     [[nodiscard]] std::vector<decision::upstream_work> known_work() const;
     /// Prompt tokens placed since the last `own_work`.
@@ -75,12 +78,12 @@
     /// The upstream with the earliest predicted first event; empty if none has room.
     [[nodiscard]] std::optional<placement_choice> choose(const placement_request& what, base::time_point now);
 
-    void sent(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt);
+    void sent(const placement_choice& choice, const placed_work& work, const prompt_facts& prompt);
     /// The first event has arrived after `elapsed`.
     void began(const base::upstream_id& upstream, const base::pool_id& pool, token_count pending,
                token_count ahead, base::duration elapsed);
     /// The attempt is over; `work` is what it still had placed.
-    void over(const base::upstream_id& upstream, const placed_work& work);
+    void over(const base::upstream_id& upstream, const placed_work& work, const prompt_facts& prompt);
     void succeeded(const base::upstream_id& upstream);
     void failed(const base::upstream_id& upstream);
     void connect_failed(const base::upstream_id& upstream, base::time_point now);
@@ -103,11 +106,20 @@
         upstream_entry entry;
         bool ready = false;
     };
+    /// Prompt tokens that the ready engines keep: the most and the second most.
+    struct keepers {
+        std::optional<base::upstream_id> first;
+        token_count most;
+        std::optional<base::upstream_id> second;
+        token_count next;
+    };
     [[nodiscard]] token_count kept(const placement_request& what, const upstream_state& state,
                                    const pool& kind) const;
+    [[nodiscard]] keepers find_keepers(const placement_request& what, const pool& kind,
+                                       base::time_point now) const;
     [[nodiscard]] token_count room_for_parts(const upstream_state& state, const pool& kind) const;
     base::duration price(const placement_request& what, const upstream_entry& entry, bool home,
-                         placement_choice& choice);
+                         const keepers& known, placement_choice& choice);
     [[nodiscard]] const pool* pool_of(const base::upstream_id& upstream) const;
     [[nodiscard]] static base::duration felt(base::duration delay, base::duration comfortable);
     void expire_parts();
@@ -126,6 +138,7 @@
     /// Upstreams that the last report named, so that their end is reported too.
     std::set<base::upstream_id> reported_;
     base::time_point next_expiry_;
+    base::time_point next_refresh_;
     token_count unreported_;
 };
 
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -25,6 +25,8 @@
 /// What is added to a request on its way to an upstream.
 struct attempt_facts {
     base::upstream_id upstream;
+    /// Where the upstream is to copy parts of the prompt from that it does not keep.
+    std::optional<decision::endpoint> donor;
     /// Empty if the caller needs no account.
     base::client_account_id account;
     base::duration time_left{};
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -182,6 +182,7 @@
 std::string relay::request_text(const exchange& of) const {
     attempt_facts attempt;
     attempt.upstream = of.order.target.id;
+    attempt.donor = of.order.donor;
     attempt.account = of.order.account;
     attempt.time_left = of.order.deadline - clock_.now();
     if (of.answer_begun || !of.events.last_id().empty()) {
@@ -209,6 +210,7 @@
     sent->answer_head = {};
     sent->answer_head.status = 0; // none yet
     sent->attempt_began = false;
+    sent->longest_pause = {};
     sent->events.drop_partial();
     link* const via = connection_for(order);
     if (via == nullptr) {
@@ -318,9 +320,13 @@
 }
 
 void relay::pass_on(exchange& of, std::string_view bytes) {
+    const base::time_point now = clock_.now();
     if (!std::exchange(of.attempt_began, true)) {
         tell_began(of);
+    } else {
+        of.longest_pause = std::max(of.longest_pause, now - of.last_part);
     }
+    of.last_part = now;
     link* const via = of.via;
     caller* const to = of.from;
     const dispatch::session_id id = of.id;
@@ -405,6 +411,7 @@
     told.status = of.answer_head.status;
     told.load = of.answer.load;
     told.events = of.events.events();
+    told.longest_pause = of.longest_pause;
     if (how == attempt_outcome::delivered) {
         metrics_.add({"bluebell_requests_total", {{"outcome", "delivered"}}});
         metrics_.observe({"bluebell_request_seconds", {}}, clock_.now() - of.read);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -65,6 +65,9 @@
         bool answer_begun = false;
         bool began_told = false;
         bool attempt_began = false;
+        /// When the last part of the answer was passed on in this attempt, and the longest time between two.
+        base::time_point last_part;
+        base::duration longest_pause{};
         answer_facts answer;
         http::response_head answer_head;
         /// Body of an answer that is not passed on yet.
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -307,6 +307,58 @@
     }
 }
 
+TEST_CASE("a shared part that only a busy engine keeps is copied from there instead of read again") {
+    upstream_entry first_engine = make_upstream("m1", model_pool, 10);
+    upstream_entry second_engine = make_upstream("m2", model_pool, 10);
+    first_engine.address.port = 9001;
+    second_engine.address.port = 9002;
+    const auto donor_of_second_request = [&](double copied_tokens_per_ms) {
+        bench router({first_engine, second_engine});
+        const std::shared_ptr<catalogue> copying = make_catalogue(2);
+        copying->pools.at(model_pool).engine->copied_tokens_per_ms = copied_tokens_per_ms;
+        router.tell(catalogue_read{copying, router.now()});
+        const session_id first = router.request("/text/1", "key-a", 8000, 42);
+        REQUIRE(router.sent(first) != nullptr);
+        CHECK_FALSE(router.sent(first)->donor);
+        // The first one has not begun, so its engine is still busy reading.
+        const session_id second = router.request("/text/1", "key-a", 8000, 42);
+        const send_request* const order = router.sent(second);
+        const bool elsewhere =
+            order != nullptr && order->target.address != router.sent(first)->target.address;
+        CHECK(elsewhere == (copied_tokens_per_ms > 0));
+        if (elsewhere) {
+            CHECK(order->donor == router.sent(first)->target.address);
+        }
+    };
+    donor_of_second_request(280);
+    donor_of_second_request(0);
+}
+
+TEST_CASE("a part that a running request uses is kept, and ages from the end of the request") {
+    placement engines(base::data_centre_id("x"), 1);
+    engines.set_catalogue(make_catalogue(1));
+    roster list;
+    list.replace({make_upstream("m1", model_pool, 10)}, false, base::time_point());
+    engines.set_roster(list);
+    placement_choice choice;
+    choice.upstream = base::upstream_id("m1");
+    const auto run = [&](std::uint64_t part) {
+        prompt_facts prompt;
+        prompt.prompt = token_count(50000);
+        prompt.parts = {{part_id(part), token_count(25000)}, {part_id(1000 + part), token_count(25000)}};
+        engines.sent(choice, {1, prompt.prompt, prompt.prompt}, prompt);
+        return prompt;
+    };
+    const prompt_facts first = run(1);
+    for (std::uint64_t other = 2; other < 8; ++other) {
+        engines.over(choice.upstream, {1, {}, token_count(50000)}, run(other));
+    }
+    engines.over(choice.upstream, {1, {}, token_count(50000)}, first);
+    const std::vector<std::uint64_t> kept = engines.known_work().at(0).parts;
+    CHECK(std::count(kept.begin(), kept.end(), 1) == 1);
+    CHECK(std::count(kept.begin(), kept.end(), 2) == 0);
+}
+
 TEST_CASE("requests beyond the engines' slots wait and are refused as not run with a time to come back") {
     bench router;
     std::vector<session_id> all;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -63,6 +63,16 @@
     CHECK(*http::find_field(fields, "Last-Event-Id") == "9");
 }
 
+TEST_CASE("only the router says where an upstream copies parts of a prompt from") {
+    const platform::dialect speech;
+    relay::attempt_facts attempt;
+    attempt.upstream = base::upstream_id("u");
+    const http::request_head asked = head_with({{"Kv-Fetch", "10.9.9.9:1"}});
+    CHECK(http::find_field(speech.request_fields(asked, attempt), "Kv-Fetch") == nullptr);
+    attempt.donor = decision::endpoint{"10.0.0.2", 81};
+    CHECK(*http::find_field(speech.request_fields(asked, attempt), "Kv-Fetch") == "10.0.0.2:81");
+}
+
 TEST_CASE("only an upstream's own statement counts as not run") {
     const platform::dialect speech;
     http::response_head head;
@@ -136,6 +146,19 @@
     CHECK(made.limits.idle_timeout == std::chrono::seconds(15));
 }
 
+TEST_CASE("engines copy from each other only where the platform moves memory and says how fast") {
+    const auto copied = [](const std::string& engine) {
+        const json spec = json::parse(R"({"version":1,"routes":[],"services":[{"name":"s","engine":)" +
+                                      engine + R"(}],"tenants":[]})");
+        const base::result<dispatch::catalogue_ptr> read = platform::decode_catalogue(spec);
+        REQUIRE(read);
+        return (*read)->find(base::pool_id("s"))->engine->copied_tokens_per_ms;
+    };
+    CHECK(copied(R"({"kv_token_bytes":125000,"link_mbps":100000,"moves":true})") == Approx(100));
+    CHECK(copied(R"({"kv_token_bytes":125000,"link_mbps":100000,"moves":false})") == 0);
+    CHECK(copied(R"({"link_mbps":100000,"moves":true})") == 0);
+}
+
 TEST_CASE("a configuration that cannot be read is an error and not an empty one") {
     CHECK_FALSE(platform::decode_catalogue(json::parse(R"({"version":1})")));
     CHECK_FALSE(platform::decode_catalogue(json::parse(R"({"version":"x","routes":[]})")));
