Say "not run" only of requests that no upstream can have run

A request that was lost on one upstream and then found no connection was answered 503, which promises that it did not run. The other way round, two refusals by upstreams ended as 502 although nothing ran.

Change: the session remembers whether an attempt may have run. Test: seen failing before (503, expected 502).

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -503,6 +503,7 @@
                          {"version", over.seen->version.value()}});
         return forget(what.id);
     case attempt_outcome::held:
+        over.may_have_run = true;
         crashes_.completed(over.print, now_);
         if (!try_again(over, what)) {
             output_.relay.emplace_back(release_answer{what.id});
@@ -522,10 +523,12 @@
         break;
     case attempt_outcome::lost:
     case attempt_outcome::cut:
+        over.may_have_run = true;
         suspects_.push_back({over.target, over.print, now_});
         placement_.failed(over.target);
         break;
     case attempt_outcome::garbled:
+        over.may_have_run = true;
         placement_.failed(over.target);
         break;
     }
@@ -539,9 +542,7 @@
     if (try_again(over, what)) {
         return;
     }
-    const bool not_run = what.how == attempt_outcome::refused || what.how == attempt_outcome::misdirected ||
-                         what.how == attempt_outcome::unsent;
-    if (not_run && over.used <= 1) {
+    if (!over.may_have_run) {
         give_up(over, error_code::upstream_refused_connection);
     } else {
         end(over, 502, error_code::upstream_closed_connection);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -91,6 +91,8 @@
         token_count ahead;
         base::time_point sent;
         bool began = false;
+        /// An attempt ended without the upstream saying that it did not run the request.
+        bool may_have_run = false;
         /// When the answer began in this attempt.
         base::time_point answered;
     };
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -456,6 +456,21 @@
     }
 }
 
+TEST_CASE("a request that may have run is never said not to have run, whatever its last attempt was") {
+    bench router;
+    const session_id id = router.request("/look/1");
+    router.over(id, attempt_outcome::lost, 0);
+    router.over(id, attempt_outcome::unsent, 0);
+    // A further attempt may still follow, since the second one reached no upstream.
+    while (router.ended(id) == nullptr) {
+        const std::uint32_t attempt = router.sent(id)->attempt;
+        router.over(id, attempt_outcome::unsent, 0);
+        REQUIRE((router.ended(id) != nullptr || router.sent(id)->attempt > attempt));
+    }
+    CHECK(router.ended(id)->status == 502);
+    CHECK_FALSE(router.ended(id)->retry_after);
+}
+
 TEST_CASE("a failure held back is replaced once and passed on in the end") {
     bench router;
     const session_id id = router.request("/look/1");
