Tell the story of one request from logs; test whole processes on the platform

A lost store is logged at the 1st, 2nd, 4th, 8th ... failure. An attempt that failed is logged with the load that the upstream reported. Removed: held stage, key of a session and two accessors that nothing used; the question whether a pool is of engines is asked in one place.

Tests: explain_test; platform_path.sh runs a router with stand-ins of the platform's store and of a worker: keys, a key taken away by a new configuration, a lost store, and the story of a refusal by it.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,9 +1,11 @@
 #include "ctl/command.h"
+#include "ctl/explain.h"
 
 #include <charconv>
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <exception>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <optional>
@@ -21,6 +23,7 @@
   bluebellctl [options] drain VM
   bluebellctl [options] dump VM
   bluebellctl [options] top
+  bluebellctl [--json] explain REQUEST [LOG...]
   bluebellctl (-h | --help)
   bluebellctl --version
 
@@ -33,6 +36,7 @@
   drain     Stop a router gracefully.
   dump      Print the whole state of a router.
   top       Repeat the status every second.
+  explain   Tell what logs say of one request, from files or standard input, of several routers mixed.
 
 Options:
   --store=ADDRESS  Object API as IP:PORT; default is the environment variable BLUEBELL_STORE.
@@ -49,6 +53,7 @@
   bluebellctl --store=10.0.0.10:8000 validate note.ini
   bluebellctl --store=10.0.0.10:8000 apply note.ini
   bluebellctl --store=10.0.0.10:8000 --json status
+  bluebellctl explain 9c41d07be2a35f68 router-1.log router-2.log
 )";
 
 using arguments = std::map<std::string, docopt::value>;
@@ -103,7 +108,27 @@
     return run.top(number(args, "--rounds"));
 }
 
+exit_code explain(const arguments& args) {
+    bluebell::ctl::explanation story(args.at("REQUEST").asString());
+    const std::vector<std::string>& files = args.at("LOG").asStringList();
+    if (files.empty()) {
+        story.read(std::cin);
+    }
+    for (const std::string& file : files) {
+        std::ifstream log(file);
+        if (!log) {
+            std::cerr << file << ": cannot be read\n";
+            return exit_code::failed;
+        }
+        story.read(log);
+    }
+    return story.print(std::cout, std::cerr, args.at("--json").asBool());
+}
+
 exit_code run(const arguments& args) {
+    if (args.at("explain").asBool()) {
+        return explain(args);
+    }
     const std::optional<bluebell::decision::endpoint> store =
         bluebell::decision::parse_endpoint(store_text(args));
     if (!store) {
--- a/src/dispatch/catalogue.cpp
+++ b/src/dispatch/catalogue.cpp
@@ -41,4 +41,9 @@
     return found == pools.end() ? nullptr : &found->second;
 }
 
+const engine_traits* catalogue::engine(const base::pool_id& id) const {
+    const pool* const kind = find(id);
+    return kind != nullptr && kind->engine ? &*kind->engine : nullptr;
+}
+
 } // namespace bluebell::dispatch
--- a/src/dispatch/catalogue.h
+++ b/src/dispatch/catalogue.h
@@ -101,6 +101,8 @@
     /// `path` may have a query.
     [[nodiscard]] const route* match(std::string_view host, std::string_view path) const;
     [[nodiscard]] const pool* find(const base::pool_id& id) const;
+    /// The engines of a pool; null if it is a plain service or unknown.
+    [[nodiscard]] const engine_traits* engine(const base::pool_id& id) const;
 
 private:
     /// From `HOST PREFIX` to the position in `routes`.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -268,17 +268,15 @@
     made.seen = catalogue_;
     made.via = via;
     made.pool = pick_pool(*via);
-    made.key = via->anonymous ? std::string() : what.key;
     made.account = via->anonymous ? base::client_account_id() : catalogue_->keys.at(what.key);
     made.prompt = what.prompt;
     made.print = what.print;
     made.spent = earlier_attempts(*via, what.patience);
     made.deadline = what.arrived + std::min(what.patience.value_or(via->timeout), via->timeout);
-    const pool* const kind = catalogue_->find(made.pool);
+    made.engine = catalogue_->engine(made.pool) != nullptr;
     const double output = static_cast<double>(expected_output(what.prompt).value());
-    const bool engine = kind != nullptr && kind->engine;
-    made.price = base::cost(engine ? static_cast<double>(what.prompt.prompt.value()) + output_weight * output
-                                   : plain_price);
+    made.price = base::cost(
+        made.engine ? static_cast<double>(what.prompt.prompt.value()) + output_weight * output : plain_price);
     made.memory = what.prompt.prompt + expected_output(what.prompt);
     budget_.first_attempt(made.pool, now_);
     if (drain_began_ && now_ - *drain_began_ > settings_.drain_accept) {
@@ -287,7 +285,7 @@
     if (crashes_.blocked(made.print, now_)) {
         return end(made, 502, error_code::poison_request);
     }
-    if (engine && made.spent == base::duration::zero()) {
+    if (made.engine && made.spent == base::duration::zero()) {
         share_.ask(made.account, made.price, now_);
     }
     session& kept = sessions_.emplace(what.id, std::move(made)).first->second;
@@ -341,8 +339,7 @@
 }
 
 bool dispatcher::admit(const session& what, const placement_choice& choice) const {
-    const pool* const kind = what.seen->find(what.pool);
-    if (kind == nullptr || !kind->engine) {
+    if (!what.engine) {
         return true;
     }
     const base::duration objective = what.via->objective;
@@ -371,9 +368,7 @@
     const bool patient = now_ - what.arrived < scaled(what.via->objective, patient_share);
     wanted.reread_weight = patient ? reread_weight : last_reread_weight;
     wanted.cold_room = patient ? cold_room : 1;
-    const pool* const kind = what.seen->find(what.pool);
-    const bool engine = kind != nullptr && kind->engine;
-    wanted.sample = !delegation_.needed() ? 0 : engine ? sampled_engines : sampled_plain;
+    wanted.sample = !delegation_.needed() ? 0 : what.engine ? sampled_engines : sampled_plain;
     const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
     if (!choice || !admit(what, *choice)) {
         return false;
@@ -387,8 +382,6 @@
     if (entry == nullptr) {
         return;
     }
-    const pool* const kind = what.seen->find(what.pool);
-    const bool engine = kind != nullptr && kind->engine;
     what.state = stage::sent;
     ++what.attempt;
     ++what.used;
@@ -398,7 +391,7 @@
     what.sent = now_;
     what.began = false;
     placement_.sent(choice, what.placed, what.prompt);
-    if (engine && what.attempt == 1) {
+    if (what.engine && what.attempt == 1) {
         share_.serve(what.account, what.price, now_);
     }
     send_request order;
@@ -492,8 +485,7 @@
     session& on = found->second;
     on.began = true;
     on.answered = now_;
-    const pool* const kind = on.seen->find(on.pool);
-    if (kind != nullptr && kind->engine) {
+    if (on.engine) {
         placement_.began(on.target, on.pool, on.placed.pending, on.ahead, now_ - on.sent);
         on.placed.pending = {};
         queue_changed_ = true;
@@ -571,6 +563,8 @@
                      {"upstream", over.target.value()},
                      {"how", to_string(what.how)},
                      {"status", what.status},
+                     {"upstream_running", what.load ? static_cast<double>(what.load->running) : -1},
+                     {"upstream_waiting", what.load ? static_cast<double>(what.load->waiting) : -1},
                      {"after_ms", ms(now_ - over.sent)}});
     if (try_again(over, what)) {
         return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -63,7 +63,7 @@
     [[nodiscard]] std::size_t sessions() const { return sessions_.size(); }
 
 private:
-    enum class stage { queued, sent, held };
+    enum class stage { queued, sent };
     struct session {
         session_id id;
         std::string trace;
@@ -71,7 +71,8 @@
         const dispatch::route* via = nullptr;
         base::pool_id pool;
         base::client_account_id account;
-        std::string key;
+        /// Needs a model engine.
+        bool engine = false;
         prompt_facts prompt;
         base::fingerprint print;
         base::time_point arrived;
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -27,7 +27,6 @@
     void observe(token_count work, base::duration elapsed);
     [[nodiscard]] base::duration predict(token_count work) const;
     [[nodiscard]] double tokens_per_ms() const { return 1.0 / slope_; }
-    [[nodiscard]] double base_ms() const { return base_; }
 
 private:
     double prior_slope_ = 1.0 / 40;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -81,7 +81,6 @@
 struct answer_began {
     session_id id;
     std::uint32_t attempt = 0;
-    std::optional<load_report> load;
 };
 
 struct attempt_over {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -263,21 +263,21 @@
     }
 }
 
-const pool* placement::pool_of(const base::upstream_id& upstream) const {
+const engine_traits* placement::engine_of(const base::upstream_id& upstream) const {
     const auto entry = entries_.find(upstream);
-    return entry == entries_.end() || !catalogue_ ? nullptr : catalogue_->find(entry->second.pool);
+    return entry == entries_.end() || !catalogue_ ? nullptr : catalogue_->engine(entry->second.pool);
 }
 
 std::vector<decision::upstream_work> placement::known_work(const std::set<base::vm_id>* without) const {
     std::vector<decision::upstream_work> told;
     for (const auto& [id, state] : states_) {
-        const pool* const kind = pool_of(id);
-        if (kind == nullptr || !kind->engine) {
+        const engine_traits* const engine = engine_of(id);
+        if (engine == nullptr) {
             continue;
         }
         decision::upstream_work work = without == nullptr ? to_message(id, state.own, own_stored(state))
                                                           : sum_without(id, state, *without);
-        for (const part_id part : state.cache.kept(room_for_parts(state, *kind), parts_told)) {
+        for (const part_id part : state.cache.kept(room_for_parts(state, *engine), parts_told)) {
             work.parts.push_back(part.value());
         }
         told.push_back(std::move(work));
@@ -287,9 +287,8 @@
 
 void placement::expire_parts() {
     for (auto& [id, state] : states_) {
-        const pool* const kind = pool_of(id);
-        if (kind != nullptr && kind->engine) {
-            state.cache.expire(kind->engine->memory * 2);
+        if (const engine_traits* const engine = engine_of(id)) {
+            state.cache.expire(engine->memory * 2);
         }
     }
 }
@@ -352,16 +351,16 @@
     return std::chrono::duration_cast<base::duration>(free * early_weight + (delay - free) * tardy_weight);
 }
 
-token_count placement::room_for_parts(const upstream_state& state, const pool& kind) const {
-    const double memory = static_cast<double>(kind.engine->memory.value());
+token_count placement::room_for_parts(const upstream_state& state, const engine_traits& engine) {
+    const double memory = static_cast<double>(engine.memory.value());
     const double running = static_cast<double>(state.total().memory.value());
     return token_count(static_cast<std::int64_t>(std::max(0.0, memory - running)));
 }
 
 /// Tokens at the start of the prompt that the upstream probably does not have to read.
 token_count placement::kept(const placement_request& what, const upstream_state& state,
-                            const pool& kind) const {
-    const token_count room = room_for_parts(state, kind);
+                            const engine_traits& engine) {
+    const token_count room = room_for_parts(state, engine);
     double sum = 0;
     double likely = 1;
     for (const prompt_part& part : what.prompt->parts) {
@@ -372,13 +371,13 @@
     return token_count(static_cast<std::int64_t>(sum));
 }
 
-placement::keepers placement::find_keepers(const placement_request& what, const pool& kind,
-                                           const std::vector<candidate>& ready, base::time_point now) const {
+placement::keepers placement::find_keepers(const placement_request& what, const engine_traits& engine,
+                                           const std::vector<candidate>& ready, base::time_point now) {
     keepers known;
-    const bool copying = kind.engine->copied_tokens_per_ms > 0;
+    const bool copying = engine.copied_tokens_per_ms > 0;
     known.kept.reserve(ready.size());
     for (const candidate& each : ready) {
-        const token_count here = kept(what, *each.state, kind);
+        const token_count here = kept(what, *each.state, engine);
         known.kept.push_back(here);
         if (!copying || now < each.state->down_until || each.state->failures > donor_failures) {
             continue;
@@ -396,7 +395,7 @@
 
 /// Fills in what the choice of an engine means and returns its cost.
 base::duration placement::price(const placement_request& what, const candidate& at, bool home,
-                                const pool& kind, const prefill_model& model, const keepers& known,
+                                const engine_traits& engine, const prefill_model& model, const keepers& known,
                                 token_count kept_here, placement_choice& choice) {
     const upstream_state& state = *at.state;
     const token_count own = what.prompt->parts.empty() ? token_count() : what.prompt->parts.back().tokens;
@@ -409,7 +408,7 @@
         choice.donor = donor->entry->id;
         choice.copied = copied;
         available += copied;
-        const double ms = static_cast<double>(copied.value()) / kind.engine->copied_tokens_per_ms;
+        const double ms = static_cast<double>(copied.value()) / engine.copied_tokens_per_ms;
         copying = copy_setup + base::duration(static_cast<base::duration::rep>(ms * ns_per_ms));
     }
     choice.uncached = std::max(what.prompt->prompt - available, token_count(1));
@@ -426,18 +425,18 @@
     return felt(choice.first_event, what.comfortable) + penalty + copying;
 }
 
-bool placement::has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
-                         token_count memory, double room) const {
+bool placement::has_room(const upstream_entry& entry, const upstream_state& state,
+                         const engine_traits* engine, token_count memory, double room) {
     const placed_work total = state.total();
     const double slots = static_cast<double>(entry.slots.value());
-    if (kind == nullptr || !kind->engine) {
+    if (engine == nullptr) {
         return static_cast<double>(total.running) < slots * plain_overcommit;
     }
     const double margin = std::min(slot_margin, slots * slot_margin_share);
     if (total.running > 0 && static_cast<double>(total.running) >= (slots - margin) * room) {
         return false;
     }
-    const double limit = static_cast<double>(kind->engine->memory.value()) * memory_share * room;
+    const double limit = static_cast<double>(engine->memory.value()) * memory_share * room;
     return limit <= 0 || total.running == 0 || static_cast<double>((total.memory + memory).value()) <= limit;
 }
 
@@ -446,11 +445,10 @@
     if (found == ready_.end() || !catalogue_) {
         return std::nullopt;
     }
-    const pool* const kind = catalogue_->find(what.pool);
-    const bool engine = kind != nullptr && kind->engine;
+    const engine_traits* const engine = catalogue_->engine(what.pool);
     const std::vector<candidate>& ready = found->second;
-    const candidate* const kept_at = engine ? home(what) : nullptr;
-    const keepers known = engine ? find_keepers(what, *kind, ready, now) : keepers{};
+    const candidate* const kept_at = engine != nullptr ? home(what) : nullptr;
+    const keepers known = engine != nullptr ? find_keepers(what, *engine, ready, now) : keepers{};
     const prefill_model& model = models_[what.pool];
     std::uniform_int_distribution<base::duration::rep> jitter(0, spread.count());
     const std::size_t first = std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(random_);
@@ -462,7 +460,7 @@
         if ((what.excluded != nullptr && what.excluded->count(entry.id) != 0) || now < state.down_until) {
             continue;
         }
-        if (!engine && !has_room(entry, state, kind, what.memory, what.room)) {
+        if (engine == nullptr && !has_room(entry, state, engine, what.memory, what.room)) {
             continue;
         }
         const bool keeper = &ready[i] == known.first || &ready[i] == known.second;
@@ -472,9 +470,9 @@
         placement_choice choice;
         choice.upstream = entry.id;
         base::duration cost{};
-        if (engine) {
-            cost = price(what, ready[i], kept_at == &ready[i], *kind, model, known, known.kept[i], choice);
-            choice.full = !has_room(entry, state, kind, what.memory,
+        if (engine != nullptr) {
+            cost = price(what, ready[i], kept_at == &ready[i], *engine, model, known, known.kept[i], choice);
+            choice.full = !has_room(entry, state, engine, what.memory,
                                     choice.cold ? std::min(what.room, what.cold_room) : what.room);
         } else {
             const double load = static_cast<double>(state.total().running) /
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -112,7 +112,6 @@
     /// Connections to one upstream that this router may have, among `routers`.
     [[nodiscard]] std::uint32_t connection_share(const base::pool_id& pool, std::size_t routers) const;
     [[nodiscard]] const std::map<base::upstream_id, upstream_state>& states() const { return states_; }
-    [[nodiscard]] const prefill_model& model(const base::pool_id& pool) { return models_[pool]; }
     [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
 
 private:
@@ -145,21 +144,21 @@
         const candidate* second = nullptr;
         token_count next;
     };
-    [[nodiscard]] token_count kept(const placement_request& what, const upstream_state& state,
-                                   const pool& kind) const;
-    [[nodiscard]] keepers find_keepers(const placement_request& what, const pool& kind,
-                                       const std::vector<candidate>& ready, base::time_point now) const;
-    [[nodiscard]] token_count room_for_parts(const upstream_state& state, const pool& kind) const;
+    [[nodiscard]] static token_count kept(const placement_request& what, const upstream_state& state,
+                                          const engine_traits& engine);
+    [[nodiscard]] static keepers find_keepers(const placement_request& what, const engine_traits& engine,
+                                              const std::vector<candidate>& ready, base::time_point now);
+    [[nodiscard]] static token_count room_for_parts(const upstream_state& state, const engine_traits& engine);
     [[nodiscard]] static base::duration price(const placement_request& what, const candidate& at, bool home,
-                                              const pool& kind, const prefill_model& model,
+                                              const engine_traits& engine, const prefill_model& model,
                                               const keepers& known, token_count kept_here,
                                               placement_choice& choice);
-    [[nodiscard]] const pool* pool_of(const base::upstream_id& upstream) const;
+    [[nodiscard]] const engine_traits* engine_of(const base::upstream_id& upstream) const;
     [[nodiscard]] static base::duration felt(base::duration delay, base::duration comfortable);
     void expire_parts();
     [[nodiscard]] const candidate* home(const placement_request& what) const;
-    [[nodiscard]] bool has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
-                                token_count memory, double room) const;
+    [[nodiscard]] static bool has_room(const upstream_entry& entry, const upstream_state& state,
+                                       const engine_traits* engine, token_count memory, double room);
 
     const base::data_centre_id here_;
     std::mt19937_64 random_;
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -104,6 +104,9 @@
         failing_since_ = now();
     }
     ++failures_;
+    if ((failures_ & (failures_ - 1)) != 0) {
+        return; // one line at the loss, and ever fewer while it lasts
+    }
     base::log_event(base::log_level::warning, name(), "store_failed",
                     {{"code", base::to_string(cause.code)}, {"text", cause.text}, {"failures", failures_}});
 }
--- /dev/null
+++ b/tests/explain_test.cpp
@@ -0,0 +1,56 @@
+#include "ctl/explain.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+
+namespace {
+
+using namespace bluebell;
+
+const char* const logs =
+    R"(   1.0 r1 {"time":"2026-01-01T00:00:01.000Z","level":"info","process":"r1","module":"dispatcher","event":"configuration_in_force","version":7}
+{"time":"2026-01-01T00:00:04.000Z","level":"info","process":"r2","module":"dispatcher","event":"delivered","request":"abc","status":200}
+{"time":"2026-01-01T00:00:02.000Z","level":"info","process":"r1","module":"dispatcher","event":"ended","request":"abc","status":503,"cause":"queue_full"}
+{"time":"2026-01-01T00:00:02.500Z","level":"info","process":"r1","module":"dispatcher","event":"ended","request":"other","status":503,"cause":"queue_full"}
+{"time":"2026-01-01T00:00:03.000Z","level":"info","process":"r3","module":"dispatcher","event":"configuration_in_force","version":9}
+not a log line
+{"broken":
+)";
+
+} // namespace
+
+TEST_CASE("the story of a request is in order, with the views of its routers and without other requests") {
+    ctl::explanation story("abc");
+    std::istringstream in(logs);
+    story.read(in);
+    std::ostringstream out;
+    std::ostringstream err;
+    CHECK(story.print(out, err, false) == ctl::exit_code::done);
+    const std::string text = out.str();
+    const std::size_t view = text.find("version=7");
+    const std::size_t refused = text.find("cause=\"queue_full\"");
+    const std::size_t delivered = text.find("status=200");
+    REQUIRE(view != std::string::npos);
+    REQUIRE(refused != std::string::npos);
+    REQUIRE(delivered != std::string::npos);
+    CHECK(view < refused);
+    CHECK(refused < delivered);
+    CHECK(text.find("version=9") == std::string::npos);
+    CHECK(std::count(text.begin(), text.end(), '\n') == 3);
+    CHECK(err.str().find("2 lines") == 0);
+}
+
+TEST_CASE("a request that no line names is an error, and the story can be printed for programs") {
+    ctl::explanation unknown("nobody");
+    std::istringstream in(logs);
+    unknown.read(in);
+    std::ostringstream out;
+    std::ostringstream err;
+    CHECK(unknown.print(out, err, false) == ctl::exit_code::failed);
+    ctl::explanation known("abc");
+    std::istringstream again(logs);
+    known.read(again);
+    std::ostringstream json;
+    CHECK(known.print(json, err, true) == ctl::exit_code::done);
+    CHECK(json.str().find(R"([{"time":"2026-01-01T00:00:01.000Z")") == 0);
+}
--- /dev/null
+++ b/tests/platform_path.sh
@@ -0,0 +1,103 @@
+#!/bin/sh
+# A request through a real router on the platform: configuration and workers from the store, keys, a new
+# configuration, a store that is lost, and the story of a request from the log.
+# Usage: platform_path.sh BUILD_DIR
+set -eu
+bin=$1/bin
+here=$(cd "$(dirname "$0")" && pwd)
+work=$(mktemp -d)
+router=
+peers=
+cleanup() {
+    [ -z "$router" ] || kill -KILL "$router" 2>/dev/null || true
+    [ -z "$peers" ] || kill -KILL "$peers" 2>/dev/null || true
+    rm -rf "$work"
+}
+trap cleanup EXIT
+fail() {
+    echo "FAILED: $*" >&2
+    tail -n 20 "$work/log" >&2 || true
+    exit 1
+}
+ports=$(python3 - <<'PY'
+import socket
+held = [socket.socket() for _ in range(5)]
+for each in held:
+    each.bind(("127.0.0.1", 0))
+print(*[each.getsockname()[1] for each in held])
+PY
+)
+set -- $ports
+callers=$1 ops=$2 control=$3 store=$4 worker=$5
+# config VERSION KEY: a configuration with one route and one key.
+config() {
+    cat <<JSON
+{"version":$1,"routes":[{"name":"r","host":"h.example","path_prefix":"/order/","route_type":"unsafe","timeout_ms":3000,
+ "target_latency_ms":300,"priority":1,"service":"orders","max_attempts":1,"anonymous":false}],
+ "services":[{"name":"orders","health_path":"/healthz","max_connections":50}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"school-a","api_keys":["$2"],"priority":1}]}
+JSON
+}
+config 1 key-1 | python3 "$here/platform_peers.py" "$store" "$worker" > "$work/peers" 2>&1 &
+peers=$!
+cat > "$work/settings.ini" <<INI
+[vm]
+name = r1
+data_centre = x
+[listen]
+callers = 127.0.0.1:$callers
+ops = 127.0.0.1:$ops
+control = 127.0.0.1:$control
+[store]
+address = 127.0.0.1:$store
+INI
+for _ in $(seq 50); do
+    grep -q listening "$work/peers" && break
+    sleep 0.1
+done
+"$bin/bluebelld-platform" --config "$work/settings.ini" > "$work/log" 2>&1 &
+router=$!
+# until SECONDS STATUS COMMAND...: waits until the command prints this status.
+until_status() {
+    end=$(($(date +%s) + $1))
+    wanted=$2
+    shift 2
+    while [ "$(date +%s)" -le "$end" ]; do
+        [ "$("$@")" != "$wanted" ] || return 0
+        sleep 0.1
+    done
+    fail "no $wanted from $*, but $("$@")"
+}
+ready() { curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$ops/ready"; }
+# order ID KEY [PATH]: prints the status of a request; its answer is in $work/answer.
+order() {
+    curl -s -m 5 -D "$work/head" -o "$work/answer" -w '%{http_code}' -H 'Host: h.example' -H "X-Attempt-Id: $1" \
+        -H 'X-Deadline-Ms: 3000' -H "Authorization: Bearer $2" --data 'paper=a4' "http://127.0.0.1:$callers/${3:-order/1}"
+}
+until_status 5 200 ready
+[ "$(order id-1 key-1)" = 200 ] || fail "an order with a key is not served"
+grep -qx 'ran for school-a' "$work/answer" || fail "the worker was told another account"
+grep -qi '^X-Response-Seal: seal' "$work/head" || fail "the worker's mark is missing"
+[ "$(order id-2 key-2)" = 401 ] || fail "an unknown key is accepted"
+[ "$(order id-3 key-1 none/1)" = 404 ] || fail "an unknown path is routed"
+config 2 key-2 | curl -sf -X POST --data-binary @- "http://127.0.0.1:$store/test/config" > /dev/null
+until_status 2 200 order id-4 key-2
+[ "$(order id-5 key-1)" = 401 ] || fail "a key that was taken away is accepted"
+[ "$(curl -s "http://127.0.0.1:$store/test/runs")" = 2 ] || fail "the worker ran something else than two orders"
+kill -KILL "$peers"
+peers=
+# The default bound for keys is five seconds.
+cause() {
+    order "$1" key-2 > /dev/null
+    cat "$work/answer"
+}
+until_status 6 router_isolated cause id-6
+[ "$(order id-7 key-2)" = 503 ] || fail "a key is accepted without a fresh view"
+kill -TERM "$router"
+wait "$router" || fail "the stop failed"
+router=
+"$bin/bluebellctl" explain id-7 "$work/log" > "$work/story" || fail "no story of a request"
+grep -q '\* ended .*cause="router_isolated"' "$work/story" || fail "the story does not tell the cause"
+grep -q 'store_failed' "$work/story" || fail "the story does not tell that the store was lost"
+echo "platform_path.sh passed"
