--- /dev/null
+++ b/src/dispatch/reporting.cpp
@@ -0,0 +1,103 @@
+// The part of the dispatcher that tells other routers of its work and hears of theirs.
+#include "base/hash.h"
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell::dispatch {
+namespace {
+
+/// Interval at which a delegate tells the sums of the reports.
+constexpr base::duration digest_interval = std::chrono::milliseconds(150);
+
+} // namespace
+
+void dispatcher::take_report(const decision::envelope& what) {
+    const decision::work_report& work = std::get<decision::work_report>(what.body);
+    const base::vm_id& from = what.header.sender;
+    const bool from_own = from == delegation_.delegate();
+    if (work.sum && !(delegation_.leads() ? delegation_.others().count(from) != 0 : from_own)) {
+        // Routers that disagree on the delegates; what it contains arrives from the right one.
+        return;
+    }
+    if (delegation_.leads() && !work.sum && delegation_.heard(from, what.header.sequence, now_)) {
+        tell_known(from);
+    }
+    const retelling heard = work.sum ? retelling::own_data_centre : retelling::everywhere;
+    placement_.receive(from, work.upstreams, now_, delegation_.leads() ? heard : retelling::none);
+    share_.receive(from, work.accounts, now_);
+    if (!work.sum || !from_own) {
+        return;
+    }
+    const std::optional<base::time_point> sent = delegation_.answered(from, work.answers);
+    if (sent && what.header.confirmation_age != decision::never_confirmed) {
+        confirm(what.header.in_force, *sent - what.header.confirmation_age);
+    }
+    if (work.upstreams_at > roster_order_.wanted) {
+        roster_order_.wanted = work.upstreams_at;
+        output_.roster_order = roster_order_;
+    }
+}
+
+void dispatcher::send_report() {
+    if (delegation_.leads()) {
+        return send_digests();
+    }
+    const decision::work_report told{placement_.own_work(now_), share_.own(now_), false, 0, 0};
+    if (delegation_.needed()) {
+        send_to(delegation_.delegate(), told);
+        delegation_.reported(sequence_, now_);
+        return;
+    }
+    for (const base::vm_id& peer : members_.live()) {
+        if (peer != members_.self()) {
+            send_to(peer, told);
+        }
+    }
+}
+
+/// Tells each router that depends on this one what all others do, and the delegates of the other data
+/// centres what this data centre does.
+void dispatcher::send_digests() {
+    if (now_ < next_digest_) {
+        return;
+    }
+    next_digest_ = now_ + digest_interval;
+    placement_.begin_digests(now_);
+    for (const auto& [reporter, sequence] : delegation_.reporters(now_)) {
+        const std::set<base::vm_id> without{reporter};
+        send_to(reporter, decision::work_report{placement_.digest(without, retelling::own_data_centre),
+                                                share_.digest(without, now_), true, sequence, roster_at_});
+    }
+    for (const base::vm_id& other : delegation_.others()) {
+        send_to(other, decision::work_report{placement_.digest(delegation_.others(), retelling::everywhere),
+                                             share_.digest(delegation_.others(), now_), true, 0, 0});
+    }
+    placement_.end_digests();
+}
+
+void dispatcher::send_to(const base::vm_id& to, decision::message body) {
+    if (const std::optional<decision::endpoint> address = members_.control_address(to)) {
+        output_.datagrams.push_back({*address, {header(), std::move(body)}});
+    }
+}
+
+/// One of the others tells a router that has just started which parts the engines keep.
+void dispatcher::inform(const base::vm_id& newcomer) {
+    std::vector<base::vm_id> others = members_.live();
+    others.erase(std::remove(others.begin(), others.end(), newcomer), others.end());
+    // In a larger fleet a delegate does, at the first report.
+    if (!delegation_.needed() && base::rendezvous_owner(newcomer.value(), others) == members_.self()) {
+        tell_known(newcomer);
+    }
+}
+
+void dispatcher::tell_known(const base::vm_id& newcomer) {
+    const std::set<base::vm_id> without{newcomer};
+    for (decision::upstream_work& work : placement_.known_work(delegation_.leads() ? &without : nullptr)) {
+        send_to(newcomer, decision::work_report{{std::move(work)}, {}, delegation_.leads(), 0, 0});
+    }
+}
+
+} // namespace bluebell::dispatch
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -68,7 +68,7 @@
     }
     if (poller_.behind()) {
         // Callers that wait for a connection must not wait until everything else is done.
-        server_->on_ready(0);
+        server_->accept_waiting();
     }
 }
 
--- a/src/relay/server.cpp
+++ b/src/relay/server.cpp
@@ -70,6 +70,13 @@
 }
 
 void server::on_ready(std::uint32_t /*events*/) {
+    accept_waiting();
+}
+
+void server::accept_waiting() {
+    if (paused_) {
+        return;
+    }
     for (int i = 0; i < accepts_per_event && listener_.open(); ++i) {
         if (callers_.size() - evicted_ >= max_callers_) {
             make_room();
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -23,6 +23,8 @@
     ~server() override;
 
     void on_ready(std::uint32_t events) override;
+    /// Accepts callers that wait for a connection, unless accepting is paused.
+    void accept_waiting();
     void on_time(base::time_point now) override;
 
     /// Destroys callers that are gone. To be called between two waits of the loop.
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -530,6 +530,8 @@
     bench router({make_upstream("p1", plain_pool, 4), make_upstream("p2", plain_pool, 4),
                   make_upstream("p3", plain_pool, 4), make_upstream("p4", plain_pool, 4)});
     const base::fingerprint print(99);
+    // A router that follows a delegate sees whole lists instead of changes.
+    const bool whole_lists = GENERATE(false, true);
     std::vector<upstream_entry> entries{
         make_upstream("p1", plain_pool, 4), make_upstream("p2", plain_pool, 4),
         make_upstream("p3", plain_pool, 4), make_upstream("p4", plain_pool, 4)};
@@ -546,7 +548,14 @@
         const base::upstream_id crashed = order->target.id;
         router.over(read.id, attempt_outcome::lost, 0);
         // The crash shows as the removal of its entry.
-        router.tell(roster_changed{{{crashed, std::nullopt}}, 1, std::nullopt});
+        entries.erase(std::remove_if(entries.begin(), entries.end(),
+                                     [&](const upstream_entry& each) { return each.id == crashed; }),
+                      entries.end());
+        if (whole_lists) {
+            router.tell(roster_read{entries, false, 2 + i, std::nullopt});
+        } else {
+            router.tell(roster_changed{{{crashed, std::nullopt}}, 1, std::nullopt});
+        }
     }
     request_read again;
     again.id = session_id(600);
