--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -23,7 +23,7 @@
   bluebellctl [options] drain VM
   bluebellctl [options] dump VM
   bluebellctl [options] top
-  bluebellctl [--json] explain REQUEST [LOG...]
+  bluebellctl [options] explain REQUEST [LOG...]
   bluebellctl (-h | --help)
   bluebellctl --version
 
--- a/tests/cli.sh
+++ b/tests/cli.sh
@@ -64,6 +64,10 @@
 expect_ctl "releases" 0 'demo.First release' releases
 expect_ctl "dump" 0 '"tree":\{"name":"root"' dump router-1
 expect_ctl "top" 0 'router-1' --rounds=1 top
+echo '{"time":"2026-01-01T00:00:00.000Z","process":"r1","event":"ended","request":"id-1","cause":"queue_full"}' > "$work/story"
+expect "explain" 0 '\* ended .*queue_full' "$bin/bluebellctl" explain id-1 "$work/story"
+expect "explain as JSON" 0 '^\[\{"time"' "$bin/bluebellctl" --json explain id-1 "$work/story"
+expect "explain an unknown request" 1 'no line names request id-2' "$bin/bluebellctl" explain id-2 "$work/story"
 
 section "bluebellctl: 5, outcome unknown"
 # The change rewrites no chunk, so that the first lost answer is the one of the head.
