--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -4,6 +4,7 @@
 #include "decision/message.h"
 #include "dispatch/event.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -52,7 +53,6 @@
     [[nodiscard]] std::vector<part_id> kept(token_count room, std::size_t limit) const;
     /// Forgets parts that were used before `room` tokens were stored. To be called now and then.
     void expire(token_count room);
-    void clear() { used_.clear(); }
 
 private:
     token_count clock_;
@@ -73,6 +73,13 @@
         memory += other.memory;
         return *this;
     }
+    /// Nothing goes below zero.
+    placed_work& operator-=(const placed_work& other) {
+        running -= std::min(running, other.running);
+        pending = std::max(pending - other.pending, token_count());
+        memory = std::max(memory - other.memory, token_count());
+        return *this;
+    }
 };
 
 /// What this router knows of one upstream beside its entry.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -63,6 +63,9 @@
 constexpr std::uint32_t min_connections = 2;
 /// Share of an upstream's connections that all routers use together.
 constexpr double connection_use = 0.9;
+/// Share that one router may use of them. The connections of all together are bounded by the requests that
+/// are placed, and callers may spread so unevenly that one router places most of them.
+constexpr double connection_share_of_one = 0.25;
 
 } // namespace
 
@@ -81,14 +84,20 @@
     entries_ = list.entries();
     ready_.clear();
     for (const auto& [id, entry] : entries_) {
+        const auto [found, added] = states_.try_emplace(id);
+        upstream_state& state = found->second;
+        if (added) {
+            state.peers = peers_work(id);
+        }
         if (entry.phase == upstream_phase::ready) {
-            ready_[entry.pool].push_back(id);
+            ready_[entry.pool].push_back({&entry, &state});
         }
-        upstream_state& state = states_[id];
         if (state.born_ms != entry.born_ms) {
             const placed_work own = state.own;
+            const placed_work peers = state.peers;
             state = upstream_state{};
             state.own = own;
+            state.peers = peers;
             state.born_ms = entry.born_ms;
         }
     }
@@ -103,17 +112,19 @@
 
 void placement::receive(const base::vm_id& from, const std::vector<decision::upstream_work>& work,
                         base::time_point now) {
-    std::map<base::upstream_id, peer_work>& known = peers_[from];
+    peer_report& report = peers_[from];
+    report.at = now;
     for (const decision::upstream_work& each : work) {
-        peer_work& last = known[each.upstream];
+        peer_work& last = report.work[each.upstream];
+        withdraw(each.upstream, last);
         const std::uint64_t stored =
             each.stored_tokens > last.stored && last.stored > 0 ? each.stored_tokens - last.stored : 0;
         last = {{each.running, token_count(static_cast<std::int64_t>(each.pending_tokens)),
                  token_count(static_cast<std::int64_t>(each.memory_tokens))},
-                each.stored_tokens,
-                now};
+                each.stored_tokens};
         const auto state = states_.find(each.upstream);
         if (state != states_.end()) {
+            state->second.peers += last.work;
             state->second.cache.store(token_count(static_cast<std::int64_t>(stored)));
             for (const std::uint64_t part : each.parts) {
                 state->second.cache.touch(part_id(part));
@@ -122,22 +133,47 @@
     }
 }
 
+placed_work placement::peers_work(const base::upstream_id& upstream) const {
+    placed_work sum;
+    for (const auto& [vm, report] : peers_) {
+        const auto reported = report.work.find(upstream);
+        if (reported != report.work.end()) {
+            sum += reported->second.work;
+        }
+    }
+    return sum;
+}
+
+/// Takes what a peer reported of an upstream out of the sum.
+void placement::withdraw(const base::upstream_id& upstream, peer_work& reported) {
+    const placed_work work = std::exchange(reported.work, {});
+    const auto state = states_.find(upstream);
+    if (state != states_.end()) {
+        state->second.peers -= work;
+    }
+}
+
 void placement::drop_peer(const base::vm_id& peer) {
-    peers_.erase(peer);
+    const auto found = peers_.find(peer);
+    if (found == peers_.end()) {
+        return;
+    }
+    for (auto& [upstream, reported] : found->second.work) {
+        withdraw(upstream, reported);
+    }
+    peers_.erase(found);
 }
 
 void placement::update(base::time_point now) {
-    for (auto& [id, state] : states_) {
-        state.peers = {};
-    }
-    for (const auto& [vm, reports] : peers_) {
-        for (const auto& [id, report] : reports) {
-            const auto state = states_.find(id);
-            if (state != states_.end() && now - report.at <= report_life) {
-                state->second.peers += report.work;
-            }
+    std::vector<base::vm_id> silent;
+    for (const auto& [vm, report] : peers_) {
+        if (now - report.at > report_life) {
+            silent.push_back(vm);
         }
     }
+    for (const base::vm_id& vm : silent) {
+        drop_peer(vm);
+    }
     if (now >= next_expiry_) {
         next_expiry_ = now + expiry_interval;
         expire_parts();
@@ -215,18 +251,18 @@
 }
 
 /// The last part of a prompt is the request's own; the one before is what requests share.
-std::optional<base::upstream_id> placement::home(const placement_request& what) const {
+const placement::candidate* placement::home(const placement_request& what) const {
     const auto found = ready_.find(what.pool);
     if (what.prompt == nullptr || what.prompt->parts.size() < 2 || found == ready_.end()) {
-        return std::nullopt;
+        return nullptr;
     }
     const std::uint64_t shared = what.prompt->parts[what.prompt->parts.size() - 2].id.value();
-    std::optional<base::upstream_id> best;
+    const candidate* best = nullptr;
     std::uint64_t best_score = 0;
-    for (const base::upstream_id& id : found->second) {
-        const std::uint64_t score = base::stable_hash(id.value(), shared);
-        if (!best || score > best_score) {
-            best = id;
+    for (const candidate& each : found->second) {
+        const std::uint64_t score = base::stable_hash(each.entry->id.value(), shared);
+        if (best == nullptr || score > best_score) {
+            best = &each;
             best_score = score;
         }
     }
@@ -260,22 +296,21 @@
 }
 
 placement::keepers placement::find_keepers(const placement_request& what, const pool& kind,
-                                           base::time_point now) const {
+                                           const std::vector<candidate>& ready, base::time_point now) const {
     keepers known;
-    if (kind.engine->copied_tokens_per_ms <= 0) {
-        return known;
-    }
-    for (const base::upstream_id& id : ready_.at(what.pool)) {
-        const upstream_state& state = states_.at(id);
-        if (now < state.down_until || state.failures > donor_failures) {
+    const bool copying = kind.engine->copied_tokens_per_ms > 0;
+    known.kept.reserve(ready.size());
+    for (const candidate& each : ready) {
+        const token_count here = kept(what, *each.state, kind);
+        known.kept.push_back(here);
+        if (!copying || now < each.state->down_until || each.state->failures > donor_failures) {
             continue;
         }
-        const token_count here = kept(what, state, kind);
         if (here > known.most) {
-            known.second = std::exchange(known.first, id);
+            known.second = std::exchange(known.first, &each);
             known.next = std::exchange(known.most, here);
         } else if (here > known.next) {
-            known.second = id;
+            known.second = &each;
             known.next = here;
         }
     }
@@ -283,25 +318,22 @@
 }
 
 /// Fills in what the choice of an engine means and returns its cost.
-base::duration placement::price(const placement_request& what, const upstream_entry& entry, bool home,
-                                const keepers& known, placement_choice& choice) {
-    const upstream_state& state = states_[entry.id];
-    const prefill_model& model = models_[what.pool];
-    const pool& kind = *catalogue_->find(what.pool);
+base::duration placement::price(const placement_request& what, const candidate& at, bool home,
+                                const pool& kind, const prefill_model& model, const keepers& known,
+                                token_count kept_here, placement_choice& choice) {
+    const upstream_state& state = *at.state;
     const token_count own = what.prompt->parts.empty() ? token_count() : what.prompt->parts.back().tokens;
     const token_count shared = std::max(what.prompt->prompt - own, token_count());
-    const token_count kept_here = kept(what, state, kind);
-    const bool other = known.first && *known.first != entry.id;
-    const token_count copied = (other ? known.most : known.next) - kept_here;
+    const candidate* const donor = known.first == &at ? known.second : known.first;
+    const token_count copied = (known.first == &at ? known.next : known.most) - kept_here;
     token_count available = kept_here;
     base::duration copying{};
-    if (copied >= least_copy) {
-        choice.donor = other ? known.first : known.second;
+    if (donor != nullptr && copied >= least_copy) {
+        choice.donor = donor->entry->id;
         choice.copied = copied;
         available += copied;
-        copying = copy_setup +
-                  base::duration(static_cast<base::duration::rep>(
-                      static_cast<double>(copied.value()) / kind.engine->copied_tokens_per_ms * ns_per_ms));
+        const double ms = static_cast<double>(copied.value()) / kind.engine->copied_tokens_per_ms;
+        copying = copy_setup + base::duration(static_cast<base::duration::rep>(ms * ns_per_ms));
     }
     choice.uncached = std::max(what.prompt->prompt - available, token_count(1));
     choice.ahead = state.total().pending;
@@ -339,25 +371,27 @@
     }
     const pool* const kind = catalogue_->find(what.pool);
     const bool engine = kind != nullptr && kind->engine;
-    const std::optional<base::upstream_id> kept_at = engine ? home(what) : std::nullopt;
-    const keepers known = engine ? find_keepers(what, *kind, now) : keepers{};
+    const std::vector<candidate>& ready = found->second;
+    const candidate* const kept_at = engine ? home(what) : nullptr;
+    const keepers known = engine ? find_keepers(what, *kind, ready, now) : keepers{};
+    const prefill_model& model = models_[what.pool];
     std::uniform_int_distribution<base::duration::rep> jitter(0, spread.count());
     std::optional<placement_choice> best;
     base::duration best_cost{};
-    for (const base::upstream_id& id : found->second) {
-        const upstream_entry& entry = entries_.at(id);
-        const upstream_state& state = states_[id];
-        if ((what.excluded != nullptr && what.excluded->count(id) != 0) || now < state.down_until) {
+    for (std::size_t i = 0; i < ready.size(); ++i) {
+        const upstream_entry& entry = *ready[i].entry;
+        const upstream_state& state = *ready[i].state;
+        if ((what.excluded != nullptr && what.excluded->count(entry.id) != 0) || now < state.down_until) {
             continue;
         }
         if (!engine && !has_room(entry, state, kind, what.memory, what.room)) {
             continue;
         }
         placement_choice choice;
-        choice.upstream = id;
+        choice.upstream = entry.id;
         base::duration cost{};
         if (engine) {
-            cost = price(what, entry, kept_at == id, known, choice);
+            cost = price(what, ready[i], kept_at == &ready[i], *kind, model, known, known.kept[i], choice);
             choice.full = !has_room(entry, state, kind, what.memory,
                                     choice.cold ? std::min(what.room, what.cold_room) : what.room);
         } else {
@@ -451,7 +485,6 @@
 void placement::connect_failed(const base::upstream_id& upstream, base::time_point now) {
     upstream_state& state = states_[upstream];
     const std::uint32_t doublings = std::min(state.connect_failures++, 6U);
-    state.cache.clear();
     avoid(upstream, std::min(first_pause * (1U << doublings), longest_pause), now);
 }
 
@@ -463,8 +496,9 @@
 std::uint32_t placement::connection_share(const base::pool_id& pool, std::size_t routers) const {
     const dispatch::pool* const kind = catalogue_ ? catalogue_->find(pool) : nullptr;
     const double all = kind == nullptr ? 0 : static_cast<double>(kind->max_connections) * connection_use;
+    const double even = 1 / static_cast<double>(std::max<std::size_t>(routers, 1));
     return std::max(min_connections,
-                    static_cast<std::uint32_t>(all / static_cast<double>(std::max<std::size_t>(routers, 1))));
+                    static_cast<std::uint32_t>(all * std::max(even, connection_share_of_one)));
 }
 
 } // namespace bluebell::dispatch
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -66,8 +66,9 @@
     void set_roster(const roster& list);
     void receive(const base::vm_id& from, const std::vector<decision::upstream_work>& work,
                  base::time_point now);
+    /// The peer is gone; its requests end with its connections.
     void drop_peer(const base::vm_id& peer);
-    /// Brings the sums of the peers' work up to date.
+    /// Drops the work of peers that have fallen silent, and parts that no engine can keep any more.
     void update(base::time_point now);
     [[nodiscard]] std::vector<decision::upstream_work> own_work(base::time_point now);
     /// The same with the parts that each engine probably keeps, for a router that has just joined.
@@ -97,33 +98,43 @@
     [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
 
 private:
+    /// What one router reported of one upstream.
     struct peer_work {
         placed_work work;
         std::uint64_t stored = 0;
+    };
+    struct peer_report {
+        std::map<base::upstream_id, peer_work> work;
         base::time_point at;
     };
-    struct member_upstream {
-        upstream_entry entry;
-        bool ready = false;
+    [[nodiscard]] placed_work peers_work(const base::upstream_id& upstream) const;
+    void withdraw(const base::upstream_id& upstream, peer_work& reported);
+    /// A ready upstream; both live in the maps below.
+    struct candidate {
+        const upstream_entry* entry = nullptr;
+        upstream_state* state = nullptr;
     };
-    /// Prompt tokens that the ready engines keep: the most and the second most.
+    /// Prompt tokens that each of the ready engines keeps, and those that keep most and second most.
     struct keepers {
-        std::optional<base::upstream_id> first;
+        std::vector<token_count> kept;
+        const candidate* first = nullptr;
         token_count most;
-        std::optional<base::upstream_id> second;
+        const candidate* second = nullptr;
         token_count next;
     };
     [[nodiscard]] token_count kept(const placement_request& what, const upstream_state& state,
                                    const pool& kind) const;
     [[nodiscard]] keepers find_keepers(const placement_request& what, const pool& kind,
-                                       base::time_point now) const;
+                                       const std::vector<candidate>& ready, base::time_point now) const;
     [[nodiscard]] token_count room_for_parts(const upstream_state& state, const pool& kind) const;
-    base::duration price(const placement_request& what, const upstream_entry& entry, bool home,
-                         const keepers& known, placement_choice& choice);
+    [[nodiscard]] static base::duration price(const placement_request& what, const candidate& at, bool home,
+                                              const pool& kind, const prefill_model& model,
+                                              const keepers& known, token_count kept_here,
+                                              placement_choice& choice);
     [[nodiscard]] const pool* pool_of(const base::upstream_id& upstream) const;
     [[nodiscard]] static base::duration felt(base::duration delay, base::duration comfortable);
     void expire_parts();
-    [[nodiscard]] std::optional<base::upstream_id> home(const placement_request& what) const;
+    [[nodiscard]] const candidate* home(const placement_request& what) const;
     [[nodiscard]] bool has_room(const upstream_entry& entry, const upstream_state& state, const pool* kind,
                                 token_count memory, double room) const;
 
@@ -131,9 +142,9 @@
     std::mt19937_64 random_;
     catalogue_ptr catalogue_;
     std::map<base::upstream_id, upstream_entry> entries_;
-    std::map<base::pool_id, std::vector<base::upstream_id>> ready_;
+    std::map<base::pool_id, std::vector<candidate>> ready_;
     std::map<base::upstream_id, upstream_state> states_;
-    std::map<base::vm_id, std::map<base::upstream_id, peer_work>> peers_;
+    std::map<base::vm_id, peer_report> peers_;
     std::map<base::pool_id, prefill_model> models_;
     /// Upstreams that the last report named, so that their end is reported too.
     std::set<base::upstream_id> reported_;
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -11,77 +11,116 @@
 constexpr double shortage = 1.05;
 /// Service below this is forgotten, in tokens.
 constexpr double negligible = 1;
+/// Weight at which the origin of time moves on: e^10, after 20 s.
+constexpr double longest_weight = 22026;
 
 } // namespace
 
-void fair_share::decay(rate& value, base::time_point now) {
-    if (now > value.at) {
-        const double factor = std::exp(-std::chrono::duration<double>(now - value.at).count() /
-                                       std::chrono::duration<double>(memory).count());
-        value.served *= factor;
-        value.asked *= factor;
-        value.at = now;
-    }
+double fair_share::weight(base::time_point now) const {
+    return origin_ ? std::exp(std::chrono::duration<double>(now - *origin_).count() /
+                              std::chrono::duration<double>(memory).count())
+                   : 1;
 }
 
-fair_share::rate& fair_share::touch(const base::client_account_id& account, base::time_point now) {
-    const auto [found, added] = own_.try_emplace(account);
-    if (added) {
-        found->second.at = now;
+/// Keeps weights within the range of numbers; forgets what has become negligible.
+void fair_share::move_origin(base::time_point now) {
+    const double factor = weight(now);
+    if (origin_ && factor < longest_weight) {
+        return;
+    }
+    origin_ = now;
+    fleet_.clear();
+    const auto rescale = [&](rates& accounts) {
+        for (auto entry = accounts.begin(); entry != accounts.end();) {
+            rate& value = entry->second;
+            value.served /= factor;
+            value.asked /= factor;
+            if (value.asked < negligible && value.served < negligible) {
+                entry = accounts.erase(entry);
+                continue;
+            }
+            rate& sum = fleet_[entry->first];
+            sum.served += value.served;
+            sum.asked += value.asked;
+            ++entry;
+        }
+    };
+    rescale(own_);
+    for (auto& [peer, report] : peers_) {
+        rescale(report.accounts);
     }
-    decay(found->second, now);
-    return found->second;
 }
 
 void fair_share::ask(const base::client_account_id& account, base::cost amount, base::time_point now) {
-    touch(account, now).asked += amount.value();
+    move_origin(now);
+    const double added = amount.value() * weight(now);
+    own_[account].asked += added;
+    fleet_[account].asked += added;
 }
 
 void fair_share::serve(const base::client_account_id& account, base::cost amount, base::time_point now) {
-    touch(account, now).served += amount.value();
+    move_origin(now);
+    const double added = amount.value() * weight(now);
+    own_[account].served += added;
+    fleet_[account].served += added;
 }
 
 void fair_share::receive(const base::vm_id& from, const std::vector<decision::account_work>& accounts,
                          base::time_point now) {
+    move_origin(now);
     peer_report& known = peers_[from];
     known.at = now;
+    const double factor = weight(now);
     for (const decision::account_work& work : accounts) {
-        known.accounts[work.account] = {work.served.value(), work.asked.value(), now};
+        rate& last = known.accounts[work.account];
+        withdraw({{work.account, last}});
+        last = {work.served.value() * factor, work.asked.value() * factor};
+        rate& sum = fleet_[work.account];
+        sum.served += last.served;
+        sum.asked += last.asked;
+    }
+}
+
+void fair_share::withdraw(const rates& accounts) {
+    for (const auto& [account, value] : accounts) {
+        rate& sum = fleet_[account];
+        sum.served = std::max(0.0, sum.served - value.served);
+        sum.asked = std::max(0.0, sum.asked - value.asked);
+    }
+}
+
+void fair_share::drop(const base::vm_id& peer) {
+    const auto found = peers_.find(peer);
+    if (found != peers_.end()) {
+        withdraw(found->second.accounts);
+        peers_.erase(found);
     }
 }
 
 std::vector<decision::account_work> fair_share::own(base::time_point now) {
+    move_origin(now);
     std::vector<decision::account_work> told;
-    for (auto entry = own_.begin(); entry != own_.end();) {
-        decay(entry->second, now);
-        if (entry->second.asked < negligible && entry->second.served < negligible) {
-            entry = own_.erase(entry);
-            continue;
+    const double factor = weight(now);
+    for (const auto& [account, value] : own_) {
+        const double served = value.served / factor;
+        const double asked = value.asked / factor;
+        if (asked >= negligible || served >= negligible) {
+            told.push_back({account, base::cost(served), base::cost(asked)});
         }
-        told.push_back({entry->first, base::cost(entry->second.served), base::cost(entry->second.asked)});
-        ++entry;
     }
     return told;
 }
 
 void fair_share::update(base::time_point now) {
-    fleet_.clear();
-    for (auto& [account, value] : own_) {
-        decay(value, now);
-        fleet_[account] = value;
-    }
-    for (auto peer = peers_.begin(); peer != peers_.end();) {
-        if (now - peer->second.at > report_life) {
-            peer = peers_.erase(peer);
-            continue;
+    move_origin(now);
+    std::vector<base::vm_id> silent;
+    for (const auto& [vm, report] : peers_) {
+        if (now - report.at > report_life) {
+            silent.push_back(vm);
         }
-        for (auto& [account, value] : peer->second.accounts) {
-            decay(value, now);
-            rate& sum = fleet_[account];
-            sum.served += value.served;
-            sum.asked += value.asked;
-        }
-        ++peer;
+    }
+    for (const base::vm_id& vm : silent) {
+        drop(vm);
     }
     double served = 0;
     std::vector<double> asked;
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -6,6 +6,7 @@
 #include "decision/message.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bluebell::dispatch {
@@ -27,7 +28,7 @@
     void serve(const base::client_account_id& account, base::cost amount, base::time_point now);
     void receive(const base::vm_id& from, const std::vector<decision::account_work>& accounts,
                  base::time_point now);
-    void drop(const base::vm_id& peer) { peers_.erase(peer); }
+    void drop(const base::vm_id& peer);
     /// This router's part, for the peers.
     [[nodiscard]] std::vector<decision::account_work> own(base::time_point now);
 
@@ -40,22 +41,26 @@
     [[nodiscard]] double pressure() const { return pressure_; }
 
 private:
+    /// Amounts are kept as if they had been seen at `origin_`, so that forgetting takes no work.
     struct rate {
         double served = 0;
         double asked = 0;
-        base::time_point at;
     };
+    using rates = std::map<base::client_account_id, rate>;
     struct peer_report {
-        std::map<base::client_account_id, rate> accounts;
+        rates accounts;
         base::time_point at;
     };
-    static void decay(rate& value, base::time_point now);
-    rate& touch(const base::client_account_id& account, base::time_point now);
+    /// What an amount of one is worth at `origin_` if it is seen now.
+    [[nodiscard]] double weight(base::time_point now) const;
+    void move_origin(base::time_point now);
+    void withdraw(const rates& accounts);
 
-    std::map<base::client_account_id, rate> own_;
+    std::optional<base::time_point> origin_;
+    rates own_;
     std::map<base::vm_id, peer_report> peers_;
-    /// Sums over the fleet at the last update.
-    std::map<base::client_account_id, rate> fleet_;
+    /// Sums over the fleet.
+    rates fleet_;
     double level_ = 0;
     double pressure_ = 1;
 };
--- a/src/relay/ops.cpp
+++ b/src/relay/ops.cpp
@@ -10,10 +10,10 @@
 
 } // namespace
 
-ops::ops(ops_settings settings, const base::snapshot<dispatch::router_state>& state, text_source metrics,
-         text_source dump, const base::clock& time)
-    : settings_(std::move(settings)), state_(state), metrics_(std::move(metrics)), dump_(std::move(dump)),
-      clock_(time), loop_{poller_, timers_, clock_} {}
+ops::ops(ops_settings settings, const base::snapshot<dispatch::router_state>& state, condition overloaded,
+         text_source metrics, text_source dump, const base::clock& time)
+    : settings_(std::move(settings)), state_(state), overloaded_(std::move(overloaded)),
+      metrics_(std::move(metrics)), dump_(std::move(dump)), clock_(time), loop_{poller_, timers_, clock_} {}
 
 ops::~ops() = default;
 
@@ -32,7 +32,7 @@
     const std::vector<http::field> text{{"Content-Type", "text/plain"}};
     if (path == settings_.ready_path) {
         const std::shared_ptr<const dispatch::router_state> now = state_.current();
-        const bool ready = now && now->ready;
+        const bool ready = now && now->ready && !overloaded_();
         return from.answer(ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n");
     }
     if (path == "/metrics") {
--- a/src/relay/ops.h
+++ b/src/relay/ops.h
@@ -24,10 +24,12 @@
 class ops final : public base::worker, private request_handler {
 public:
     using text_source = std::function<std::string()>;
+    using condition = std::function<bool()>;
 
-    /// Pre-condition: `state` and `time` outlive the worker; the sources may be called by its thread.
-    ops(ops_settings settings, const base::snapshot<dispatch::router_state>& state, text_source metrics,
-        text_source dump, const base::clock& time);
+    /// A router that is `overloaded` is not ready.
+    /// Pre-condition: `state` and `time` outlive the worker; the functions may be called by its thread.
+    ops(ops_settings settings, const base::snapshot<dispatch::router_state>& state, condition overloaded,
+        text_source metrics, text_source dump, const base::clock& time);
     ops(const ops&) = delete;
     ops& operator=(const ops&) = delete;
     ops(ops&&) = delete;
@@ -46,6 +48,7 @@
 
     const ops_settings settings_;
     const base::snapshot<dispatch::router_state>& state_;
+    condition overloaded_;
     text_source metrics_;
     text_source dump_;
     const base::clock& clock_;
--- a/src/relay/poller.cpp
+++ b/src/relay/poller.cpp
@@ -42,6 +42,7 @@
 }
 
 void poller::remove(const http::descriptor& watched) {
+    ++removals_;
     epoll_ctl(epoll_.number(), EPOLL_CTL_DEL, watched.number(), nullptr);
 }
 
@@ -50,6 +51,7 @@
     const int ms = static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(bounded).count());
     std::array<epoll_event, events_per_wait> ready{};
     const int count = epoll_wait(epoll_.number(), ready.data(), events_per_wait, ms);
+    behind_ = count == events_per_wait;
     for (int i = 0; i < count; ++i) {
         const epoll_event& event = ready[static_cast<std::size_t>(i)];
         if (event.data.ptr == nullptr) {
--- a/src/relay/poller.h
+++ b/src/relay/poller.h
@@ -40,7 +40,14 @@
     /// Ends the current or the next `wait`.
     void wake();
 
+    /// More descriptors may be ready than the last `wait` handled.
+    [[nodiscard]] bool behind() const { return behind_; }
+    /// Descriptors removed since the start.
+    [[nodiscard]] std::uint64_t removals() const { return removals_; }
+
 private:
+    bool behind_ = false;
+    std::uint64_t removals_ = 0;
     http::descriptor epoll_;
     http::descriptor wakeup_;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -14,6 +14,11 @@
 
 /// A plain answer up to this size is passed on once it is whole, so that a broken one can be replaced.
 constexpr std::size_t keep_limit = std::size_t{256} << 10U;
+/// Least time after which a caller is told to come back that an overloaded router refuses; a random part of
+/// it is added.
+constexpr base::duration elsewhere_delay = std::chrono::milliseconds(20);
+/// Interval at which closed connections are destroyed.
+constexpr base::duration reap_interval = std::chrono::milliseconds(20);
 constexpr int success_class = 2;
 constexpr int server_error = 500;
 
@@ -45,10 +50,25 @@
                                        static_cast<request_handler&>(*this));
     while (!stop.requested()) {
         poller_.wait(wait_time());
+        note_saturation();
         timers_.run(clock_.now());
         take_commands();
         flush_events();
-        reap();
+        reap(clock_.now());
+    }
+}
+
+void relay::note_saturation() {
+    const base::time_point now = clock_.now();
+    saturation_.note(poller_.behind(), now);
+    const bool overloaded = saturation_.avoid(now);
+    if (overloaded != overloaded_.exchange(overloaded)) {
+        base::log_event(base::log_level::warning, name(), overloaded ? "overloaded" : "overload_over",
+                        {{"requests", exchanges_.size()}});
+    }
+    if (poller_.behind()) {
+        // Callers that wait for a connection must not wait until everything else is done.
+        server_->on_ready(0);
     }
 }
 
@@ -64,7 +84,7 @@
 
 bool relay::closing() const {
     const std::shared_ptr<const dispatch::router_state> now = state_.current();
-    return (now && now->draining) || (server_ && server_->crowded());
+    return overloaded_ || (now && now->draining) || (server_ && server_->crowded());
 }
 
 relay::exchange* relay::find(dispatch::session_id id) {
@@ -89,6 +109,12 @@
     if (!facts) {
         return refuse(from, "", 400, facts.error().code);
     }
+    if (saturation_.refusing(!needs_engine(facts->host, head.target))) {
+        // Another router has more time; the caller finds one with its next attempt.
+        std::uniform_int_distribution<base::duration::rep> jitter(0, elsewhere_delay.count());
+        return refuse(from, facts->trace, 503, base::error_code::queue_full,
+                      elsewhere_delay + base::duration(jitter(random_)));
+    }
     if (body_bytes_ + body.size() > settings_.body_bytes) {
         return refuse(from, facts->trace, 503, base::error_code::queue_full);
     }
@@ -116,6 +142,15 @@
     push(std::move(told));
 }
 
+bool relay::needs_engine(const std::string& host, const std::string& target) const {
+    const std::shared_ptr<const dispatch::router_state> now = state_.current();
+    if (!now || !now->catalogue) {
+        return false;
+    }
+    const dispatch::route* const via = now->catalogue->match(host, target);
+    return via != nullptr && via->kind == dispatch::route_kind::streaming;
+}
+
 void relay::on_caller_left(caller& from) {
     if (exchange* const left = of(from)) {
         push(dispatch::caller_left{left->id});
@@ -131,8 +166,10 @@
     }
 }
 
-void relay::refuse(caller& from, const std::string& trace, int status, base::error_code cause) {
-    std::vector<http::field> fields = speech_.refusal_fields(trace, std::nullopt);
+void relay::refuse(caller& from, const std::string& trace, int status, base::error_code cause,
+                   std::optional<base::duration> retry_after) {
+    std::vector<http::field> fields = speech_.refusal_fields(trace, retry_after);
+    metrics_.add({"bluebell_requests_total", {{"outcome", std::string(base::to_string(cause))}}});
     from.answer(status, fields, base::to_string(cause));
 }
 
@@ -440,7 +477,12 @@
     }
 }
 
-void relay::reap() {
+void relay::reap(base::time_point now) {
+    if (now < next_reap_ || poller_.removals() == reaped_removals_) {
+        return;
+    }
+    next_reap_ = now + reap_interval;
+    reaped_removals_ = poller_.removals();
     server_->reap();
     for (auto pool = links_.begin(); pool != links_.end();) {
         std::vector<std::unique_ptr<link>>& known = pool->second;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -10,13 +10,16 @@
 #include "relay/dialect.h"
 #include "relay/link.h"
 #include "relay/poller.h"
+#include "relay/saturation.h"
 #include "relay/server.h"
 #include "relay/splitter.h"
 
+#include <atomic>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -50,6 +53,8 @@
     [[nodiscard]] std::string name() const override { return "relay"; }
     void run(base::stop_signal& stop) override;
     void interrupt() override { poller_.wake(); }
+    /// New connections should go to other routers. May be called from any thread.
+    [[nodiscard]] bool overloaded() const { return overloaded_; }
 
 private:
     /// One request in progress.
@@ -100,10 +105,14 @@
     void tell_began(exchange& of);
     void over(exchange& of, dispatch::attempt_outcome how);
     void finish(exchange& of);
-    void refuse(caller& from, const std::string& trace, int status, base::error_code cause);
+    void refuse(caller& from, const std::string& trace, int status, base::error_code cause,
+                std::optional<base::duration> retry_after = std::nullopt);
     void push(dispatch::event what);
     void flush_events();
-    void reap();
+    /// The request would be answered by a stream of a model engine.
+    [[nodiscard]] bool needs_engine(const std::string& host, const std::string& target) const;
+    void note_saturation();
+    void reap(base::time_point now);
     exchange* find(dispatch::session_id id);
     exchange* of(const caller& from);
     exchange* of(const link& from);
@@ -128,6 +137,11 @@
     std::uint64_t last_id_ = 0;
     std::size_t body_bytes_ = 0;
     bool was_draining_ = false;
+    saturation saturation_;
+    std::atomic<bool> overloaded_{false};
+    base::time_point next_reap_;
+    std::uint64_t reaped_removals_ = 0;
+    std::mt19937_64 random_;
 };
 
 } // namespace bluebell::relay
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -184,10 +184,14 @@
     data_path.body_bytes = settings_.memory.value() / body_memory_part;
     data_path.upstreams.connect = settings_.connect_timeout;
     std::unique_ptr<base::supervisor> tree = subtree("relay");
-    tree->add(std::make_unique<relay::relay>(data_path, adapters_.speech, commands_, events_, state_, clock_,
-                                             metrics_));
+    std::unique_ptr<relay::relay> path = std::make_unique<relay::relay>(
+        data_path, adapters_.speech, commands_, events_, state_, clock_, metrics_);
+    // The tree owns both workers and stops `ops` first.
+    const relay::relay& data = *path;
+    tree->add(std::move(path));
     tree->add(std::make_unique<relay::ops>(
-        relay::ops_settings{settings_.ops, settings_.ready_path}, state_, [this] { return metrics_text(); },
+        relay::ops_settings{settings_.ops, settings_.ready_path}, state_,
+        [&data] { return data.overloaded(); }, [this] { return metrics_text(); },
         [this] { return dump_text(); }, clock_));
     root_.add(std::move(tree));
 }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -171,6 +171,26 @@
 
 } // namespace
 
+TEST_CASE(
+    "a loop that stays behind refuses work, costly requests first, and asks for no connections for a while") {
+    using relay::saturation;
+    const auto at = [](base::duration since) { return base::time_point(std::chrono::hours(1)) + since; };
+    saturation state;
+    state.note(true, at({}));
+    CHECK_FALSE(state.refusing(false));
+    state.note(true, at(saturation::tolerated + milliseconds(1)));
+    CHECK(state.refusing(false));
+    CHECK_FALSE(state.refusing(true));
+    CHECK(state.avoid(at(saturation::tolerated + milliseconds(1))));
+    state.note(true, at(saturation::tolerated_cheap + milliseconds(1)));
+    CHECK(state.refusing(true));
+    const base::duration caught_up = saturation::tolerated_cheap + milliseconds(2);
+    state.note(false, at(caught_up));
+    CHECK_FALSE(state.refusing(false));
+    CHECK(state.avoid(at(caught_up + milliseconds(100))));
+    CHECK_FALSE(state.avoid(at(caught_up + saturation::recovery)));
+}
+
 TEST_CASE("a request goes to an upstream with the router's fields only and its answer comes back whole") {
     router fleet;
     wire caller = fleet.call();
