--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -80,6 +80,8 @@
     /// Where the router on the VM takes admin requests.
     endpoint admin;
     bool leaving = false;
+    /// Processor time that the VM has, in cores; zero if unknown.
+    double processor = 0;
 };
 
 struct vms_listed {
--- a/src/decision/member.h
+++ b/src/decision/member.h
@@ -60,6 +60,8 @@
     bool listed = false;
     endpoint control;
     endpoint admin;
+    /// Processor time that the VM has, in cores; zero if unknown.
+    double processor = 0;
     base::revision in_force;
     /// A time at which the member was certainly running, from the last answered probe.
     std::optional<base::time_point> heard;
--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -206,10 +206,17 @@
     base::cost asked;
 };
 
-/// Everything that the sender has in progress; replaces its last report.
+/// What the sender has in progress, or the sum over the routers that it speaks for. What it names replaces
+/// what it named before.
 struct work_report {
     std::vector<upstream_work> upstreams;
     std::vector<account_work> accounts;
+    /// It is a sum over several routers, told by the delegate of a data centre.
+    bool sum = false;
+    /// Number of the last message with a report of the receiver, in an answer to it; zero otherwise.
+    std::uint64_t answers = 0;
+    /// Position of the store at which the list of upstreams last changed for the sender; zero if unknown.
+    std::uint64_t upstreams_at = 0;
 };
 
 using message = std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim,
--- /dev/null
+++ b/src/dispatch/delegation.cpp
@@ -0,0 +1,100 @@
+#include "dispatch/delegation.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bluebell::dispatch {
+namespace {
+
+/// Numbers of reports that are remembered; at the shortest interval of reports these are three seconds.
+constexpr std::size_t remembered_reports = 128;
+
+/// Routers with more processor time go first; the rest is the same everywhere but arbitrary.
+std::tuple<double, std::uint64_t> rank(const base::vm_id& vm, double processor,
+                                       const base::data_centre_id& place) {
+    return {processor, base::stable_hash(vm.value(), base::stable_hash(place.value()))};
+}
+
+} // namespace
+
+void delegation::update(const std::vector<decision::member_info>& members, base::time_point now) {
+    if (!unanswered_.empty() && now - unanswered_.front().at > patience) {
+        passed_over_[delegate_] = now + pass_over_time;
+        unanswered_.clear();
+    }
+    std::size_t live = 0;
+    std::map<base::data_centre_id, std::pair<std::tuple<double, std::uint64_t>, base::vm_id>> best;
+    for (const decision::member_info& each : members) {
+        const bool self = each.vm == self_;
+        const bool candidate = each.state != decision::liveness::dead;
+        live += candidate ? 1 : 0;
+        const base::data_centre_id& place = self ? here_ : each.data_centre;
+        if (!candidate || each.leaving || place.value().empty() || (!self && passed_over(each.vm, now))) {
+            continue;
+        }
+        const std::tuple<double, std::uint64_t> standing =
+            rank(each.vm, self ? processor_ : each.processor, place);
+        const auto [found, added] = best.try_emplace(place, standing, each.vm);
+        if (!added && found->second.first < standing) {
+            found->second = {standing, each.vm};
+        }
+    }
+    needed_ = live > direct_limit;
+    const auto own = best.find(here_);
+    const base::vm_id chosen = own == best.end() ? self_ : own->second.second;
+    if (chosen != delegate_) {
+        delegate_ = chosen;
+        unanswered_.clear();
+    }
+    others_.clear();
+    for (const auto& [place, first] : best) {
+        if (place != here_) {
+            others_.insert(first.second);
+        }
+    }
+}
+
+bool delegation::passed_over(const base::vm_id& vm, base::time_point now) const {
+    const auto found = passed_over_.find(vm);
+    return found != passed_over_.end() && now < found->second;
+}
+
+void delegation::reported(std::uint64_t sequence, base::time_point now) {
+    unanswered_.push_back({sequence, now});
+    if (unanswered_.size() > remembered_reports) {
+        unanswered_.pop_front();
+    }
+}
+
+std::optional<base::time_point> delegation::answered(const base::vm_id& from, std::uint64_t sequence) {
+    const auto found = std::find_if(unanswered_.begin(), unanswered_.end(),
+                                    [&](const sent_report& each) { return each.sequence == sequence; });
+    if (from != delegate_ || found == unanswered_.end()) {
+        return std::nullopt;
+    }
+    const base::time_point sent = found->at;
+    unanswered_.erase(unanswered_.begin(), found + 1);
+    return sent;
+}
+
+bool delegation::heard(const base::vm_id& from, std::uint64_t sequence, base::time_point now) {
+    const auto [found, added] = reporters_.insert_or_assign(from, reporter{sequence, now});
+    return added;
+}
+
+std::vector<std::pair<base::vm_id, std::uint64_t>> delegation::reporters(base::time_point now) {
+    std::vector<std::pair<base::vm_id, std::uint64_t>> current;
+    for (auto each = reporters_.begin(); each != reporters_.end();) {
+        if (now - each->second.at > reporter_life) {
+            each = reporters_.erase(each);
+            continue;
+        }
+        current.emplace_back(each->first, each->second.sequence);
+        ++each;
+    }
+    return current;
+}
+
+} // namespace bluebell::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -62,8 +62,19 @@
 constexpr base::duration misdirected_pause = std::chrono::seconds(1);
 /// Routers that a router without a list of its peers assumes to exist.
 constexpr std::size_t assumed_fleet = 16;
-/// Peers that each report goes to.
-constexpr std::size_t report_fanout = 16;
+/// Engines that are considered for a request in a large fleet, at random, beside those that keep most of its
+/// prompt. Many routers with the same sums would otherwise all choose the same engine until the next ones.
+constexpr std::size_t sampled_engines = 10;
+/// The same for plain services, whose requests are shorter than the interval of the sums.
+constexpr std::size_t sampled_plain = 2;
+/// Share of an engine that a large fleet fills, since sums are older there and more routers act on them.
+constexpr double delegated_room = 0.8;
+/// Interval at which a delegate tells the sums of the reports.
+constexpr base::duration digest_interval = std::chrono::milliseconds(150);
+/// Age of a delegate's view from which on a router asks the store itself, and for how long. A view ages up to
+/// two waits of the delegate's calls, and the way of a report and its answer.
+constexpr base::duration delegate_freshness = std::chrono::milliseconds(1500);
+constexpr base::duration own_watch_time = std::chrono::seconds(2);
 /// Part of the fleet's retry budget that the routers use together; the rest covers routers that come and go.
 constexpr double budget_use = 0.8;
 /// Tokens read count once, tokens generated twice, in the service of accounts.
@@ -118,6 +129,7 @@
 
 dispatcher::dispatcher(const dispatcher_settings& settings, base::time_point now)
     : settings_(settings), now_(now), members_(settings.member, now),
+      delegation_(settings.member.self, settings.data_centre, settings.processor),
       placement_(settings.data_centre, settings.seed), budget_({settings.retry_ratio * budget_use, 0}),
       crashes_({distinct_crashes, std::chrono::minutes(10), 4096}), next_report_(now), next_pass_(now),
       random_(settings.seed) {
@@ -154,6 +166,15 @@
         share_.update(now);
         placement_.update(now);
         update_budget();
+        const base::vm_id before = delegation_.needed() ? delegation_.delegate() : base::vm_id();
+        delegation_.update(members_.members(), now);
+        if (!before.value().empty() && before != delegation_.delegate()) {
+            base::log_event(log_level::info, "dispatcher", "delegate_changed",
+                            {{"from", before.value()}, {"to", delegation_.delegate().value()}});
+            placement_.drop_peer(before);
+            share_.drop(before);
+        }
+        direct_followers();
         send_report();
         next_report_ = now + settings_.report_interval;
     }
@@ -338,9 +359,15 @@
     const base::duration elapsed = what.spent + (now_ - what.arrived);
     wanted.comfortable =
         std::max(scaled(what.via->objective - elapsed, comfort_share), base::duration::zero());
+    if (delegation_.needed()) {
+        wanted.room *= delegated_room;
+    }
     const bool patient = now_ - what.arrived < scaled(what.via->objective, patient_share);
     wanted.reread_weight = patient ? reread_weight : last_reread_weight;
     wanted.cold_room = patient ? cold_room : 1;
+    const pool* const kind = what.seen->find(what.pool);
+    const bool engine = kind != nullptr && kind->engine;
+    wanted.sample = !delegation_.needed() ? 0 : engine ? sampled_engines : sampled_plain;
     const std::optional<placement_choice> choice = placement_.choose(wanted, now_);
     if (!choice || !admit(what, *choice)) {
         return false;
@@ -599,8 +626,8 @@
 }
 
 void dispatcher::on(const catalogue_read& what) {
-    if (!confirmed_ || what.asked > *confirmed_) {
-        confirmed_ = what.asked;
+    if (what.asked) {
+        confirmed_ = std::max(confirmed_.value_or(*what.asked), *what.asked);
     }
     if (!what.changed || (catalogue_ && !(catalogue_->version < what.changed->version))) {
         return;
@@ -609,6 +636,13 @@
     placement_.set_catalogue(catalogue_);
     members_.put_in_force(catalogue_->version, now_);
     output_.in_force = catalogue_;
+    if (pending_view_) {
+        confirm(pending_view_->version, pending_view_->at);
+    }
+    if (delegation_.leads()) {
+        next_digest_ = now_; // the routers that depend on this one hear of it at once
+        send_digests();
+    }
     base::log_event(log_level::info, "dispatcher", "configuration_in_force",
                     {{"version", catalogue_->version.value()},
                      {"routes", catalogue_->routes.size()},
@@ -616,11 +650,22 @@
 }
 
 void dispatcher::on(const roster_read& what) {
+    roster_at_ = std::max(roster_at_, what.at);
+    if (what.asked) {
+        roster_confirmed_ = std::max(roster_confirmed_.value_or(*what.asked), *what.asked);
+    }
     roster_.replace(what.entries, what.after_outage, now_);
     apply_roster();
 }
 
 void dispatcher::on(const roster_changed& what) {
+    if (what.asked) {
+        roster_confirmed_ = std::max(roster_confirmed_.value_or(*what.asked), *what.asked);
+    }
+    if (what.changes.empty()) {
+        return;
+    }
+    roster_at_ = std::max(roster_at_, what.at);
     for (const upstream_change& change : what.changes) {
         const upstream_entry* const known = roster_.find(change.id);
         if (known != nullptr && (!change.entry || change.entry->born_ms != known->born_ms)) {
@@ -629,6 +674,10 @@
     }
     roster_.apply(what.changes, now_);
     apply_roster();
+    if (delegation_.leads()) {
+        next_digest_ = now_;
+        send_digests();
+    }
 }
 
 void dispatcher::apply_roster() {
@@ -663,9 +712,8 @@
         return;
     }
     const base::vm_id& from = what.what.header.sender;
-    if (const decision::work_report* const work = std::get_if<decision::work_report>(&what.what.body)) {
-        placement_.receive(from, work->upstreams, now_);
-        share_.receive(from, work->accounts, now_);
+    if (std::holds_alternative<decision::work_report>(what.what.body)) {
+        take_report(what.what);
     } else if (const decision::crash_report* const crash =
                    std::get_if<decision::crash_report>(&what.what.body)) {
         if (crashes_.report(*crash, now_)) {
@@ -695,33 +743,129 @@
     }
 }
 
+void dispatcher::take_report(const decision::envelope& what) {
+    const decision::work_report& work = std::get<decision::work_report>(what.body);
+    const base::vm_id& from = what.header.sender;
+    const bool from_own = from == delegation_.delegate();
+    if (work.sum && !(delegation_.leads() ? delegation_.others().count(from) != 0 : from_own)) {
+        // Routers that disagree on the delegates; what it contains arrives from the right one.
+        return;
+    }
+    if (delegation_.leads() && !work.sum && delegation_.heard(from, what.header.sequence, now_)) {
+        tell_known(from);
+    }
+    const retelling heard = work.sum ? retelling::own_data_centre : retelling::everywhere;
+    placement_.receive(from, work.upstreams, now_, delegation_.leads() ? heard : retelling::none);
+    share_.receive(from, work.accounts, now_);
+    if (!work.sum || !from_own) {
+        return;
+    }
+    const std::optional<base::time_point> sent = delegation_.answered(from, work.answers);
+    if (sent && what.header.confirmation_age != decision::never_confirmed) {
+        confirm(what.header.in_force, *sent - what.header.confirmation_age);
+    }
+    if (work.upstreams_at > roster_order_.wanted) {
+        roster_order_.wanted = work.upstreams_at;
+        output_.roster_order = roster_order_;
+    }
+}
+
+/// A router confirmed at `at` that `version` was the newest one.
+void dispatcher::confirm(base::revision version, base::time_point at) {
+    if (!catalogue_ || catalogue_->version < version) {
+        pending_view_ = pending_view{version, at};
+        return;
+    }
+    pending_view_.reset();
+    confirmed_ = std::max(confirmed_.value_or(at), at);
+    delegate_confirmed_ = std::max(delegate_confirmed_, at);
+}
+
+/// Decides whether this router watches the store itself, and tells the followers what is known to exist.
+void dispatcher::direct_followers() {
+    const bool depends = delegation_.needed() && !delegation_.leads();
+    if (!depends) {
+        delegate_confirmed_ = now_; // a delegate that is chosen later has this long to answer
+    } else if (now_ - delegate_confirmed_ > delegate_freshness) {
+        watch_until_ = now_ + own_watch_time;
+    }
+    follow_order catalogue_order;
+    catalogue_order.watch = !depends || now_ < watch_until_;
+    catalogue_order.brief = delegation_.leads();
+    catalogue_order.wanted = std::max(catalogue_order_.wanted, members_.newest().in_force.value());
+    follow_order roster_order = catalogue_order;
+    roster_order.wanted = roster_order_.wanted;
+    if (catalogue_order.watch != catalogue_order_.watch) {
+        base::log_event(log_level::info, "dispatcher",
+                        catalogue_order.watch ? "watching_store" : "following_delegate",
+                        {{"delegate", delegation_.delegate().value()},
+                         {"age_ms", confirmed_ ? ms(now_ - *confirmed_) : -1}});
+    }
+    if (!(catalogue_order == catalogue_order_)) {
+        output_.catalogue_order = catalogue_order_ = catalogue_order;
+    }
+    if (!(roster_order == roster_order_)) {
+        output_.roster_order = roster_order_ = roster_order;
+    }
+}
+
 void dispatcher::send_report() {
-    std::vector<base::vm_id> peers = members_.live();
-    peers.erase(std::remove(peers.begin(), peers.end(), members_.self()), peers.end());
-    if (peers.size() > report_fanout) {
-        peers = members_.random_peers(report_fanout);
+    if (delegation_.leads()) {
+        return send_digests();
     }
-    if (peers.empty()) {
+    const decision::work_report told{placement_.own_work(now_), share_.own(now_), false, 0, 0};
+    if (delegation_.needed()) {
+        send_to(delegation_.delegate(), told);
+        delegation_.reported(sequence_, now_);
         return;
     }
-    const decision::work_report told{placement_.own_work(now_), share_.own(now_)};
-    for (const base::vm_id& peer : peers) {
-        if (const std::optional<decision::endpoint> to = members_.control_address(peer)) {
-            output_.datagrams.push_back({*to, {header(), told}});
+    for (const base::vm_id& peer : members_.live()) {
+        if (peer != members_.self()) {
+            send_to(peer, told);
         }
     }
 }
 
+/// Tells each router that depends on this one what all others do, and the delegates of the other data
+/// centres what this data centre does.
+void dispatcher::send_digests() {
+    if (now_ < next_digest_) {
+        return;
+    }
+    next_digest_ = now_ + digest_interval;
+    placement_.begin_digests(now_);
+    for (const auto& [reporter, sequence] : delegation_.reporters(now_)) {
+        const std::set<base::vm_id> without{reporter};
+        send_to(reporter, decision::work_report{placement_.digest(without, retelling::own_data_centre),
+                                                share_.digest(without, now_), true, sequence, roster_at_});
+    }
+    for (const base::vm_id& other : delegation_.others()) {
+        send_to(other, decision::work_report{placement_.digest(delegation_.others(), retelling::everywhere),
+                                             share_.digest(delegation_.others(), now_), true, 0, 0});
+    }
+    placement_.end_digests();
+}
+
+void dispatcher::send_to(const base::vm_id& to, decision::message body) {
+    if (const std::optional<decision::endpoint> address = members_.control_address(to)) {
+        output_.datagrams.push_back({*address, {header(), std::move(body)}});
+    }
+}
+
 /// One of the others tells a router that has just started which parts the engines keep.
 void dispatcher::inform(const base::vm_id& newcomer) {
     std::vector<base::vm_id> others = members_.live();
     others.erase(std::remove(others.begin(), others.end(), newcomer), others.end());
-    const std::optional<decision::endpoint> to = members_.control_address(newcomer);
-    if (!to || base::rendezvous_owner(newcomer.value(), others) != members_.self()) {
-        return;
+    // In a larger fleet a delegate does, at the first report.
+    if (!delegation_.needed() && base::rendezvous_owner(newcomer.value(), others) == members_.self()) {
+        tell_known(newcomer);
     }
-    for (decision::upstream_work& work : placement_.known_work()) {
-        output_.datagrams.push_back({*to, {header(), decision::work_report{{std::move(work)}, {}}}});
+}
+
+void dispatcher::tell_known(const base::vm_id& newcomer) {
+    const std::set<base::vm_id> without{newcomer};
+    for (decision::upstream_work& work : placement_.known_work(delegation_.leads() ? &without : nullptr)) {
+        send_to(newcomer, decision::work_report{{std::move(work)}, {}, delegation_.leads(), 0, 0});
     }
 }
 
@@ -733,13 +877,23 @@
     }
 }
 
+/// Age of the older one of the two views of the store that others depend on.
+base::duration dispatcher::view_age() const {
+    if (!confirmed_ || (delegation_.leads() && !roster_confirmed_)) {
+        return decision::never_confirmed;
+    }
+    const base::time_point oldest =
+        delegation_.leads() ? std::min(*confirmed_, *roster_confirmed_) : *confirmed_;
+    return std::max(now_ - oldest, base::duration::zero());
+}
+
 decision::message_header dispatcher::header() {
     decision::message_header made;
     made.sender = members_.self();
     made.life = members_.life();
     made.sequence = ++sequence_;
     made.in_force = members_.in_force();
-    made.confirmation_age = confirmed_ ? now_ - *confirmed_ : decision::never_confirmed;
+    made.confirmation_age = view_age();
     return made;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "decision/command.h"
 #include "decision/member.h"
 #include "decision/retry.h"
+#include "dispatch/delegation.h"
 #include "dispatch/event.h"
 #include "dispatch/placement.h"
 #include "dispatch/share.h"
@@ -22,6 +23,8 @@
 struct dispatcher_settings {
     decision::member_settings member;
     base::data_centre_id data_centre;
+    /// Processor time of this VM, in cores.
+    double processor = 1;
     /// Age of the last confirmation of the configuration up to which keys are accepted.
     base::duration freshness = std::chrono::milliseconds(3500);
     /// Retries of the whole fleet: a share of the requests and a fixed number, within
@@ -43,6 +46,9 @@
     std::vector<decision::datagram> datagrams;
     /// Set when a new configuration came into force.
     catalogue_ptr in_force;
+    /// Set when the views of the store are to be kept in another way.
+    std::optional<follow_order> catalogue_order;
+    std::optional<follow_order> roster_order;
 };
 
 /// All decisions on requests of one router: typed events in, typed commands out. No I/O, no clock.
@@ -138,7 +144,14 @@
     void confirm_crash(const base::upstream_id& upstream);
     void spread(const decision::crash_report& what);
     void send_report();
+    void send_digests();
+    void send_to(const base::vm_id& to, decision::message body);
+    void take_report(const decision::envelope& what);
+    void confirm(base::revision version, base::time_point at);
+    void direct_followers();
+    [[nodiscard]] base::duration view_age() const;
     void inform(const base::vm_id& newcomer);
+    void tell_known(const base::vm_id& newcomer);
     void send_messages();
     [[nodiscard]] decision::message_header header();
     void update_budget();
@@ -149,6 +162,22 @@
     decision::member members_;
     catalogue_ptr catalogue_;
     std::optional<base::time_point> confirmed_;
+    std::optional<base::time_point> roster_confirmed_;
+    /// Position of the store at which the list of upstreams last changed.
+    std::uint64_t roster_at_ = 0;
+    delegation delegation_;
+    /// A confirmation by the delegate of a version that this router does not have yet.
+    struct pending_view {
+        base::revision version;
+        base::time_point at;
+    };
+    std::optional<pending_view> pending_view_;
+    /// Last confirmation that a delegate passed on.
+    base::time_point delegate_confirmed_;
+    follow_order catalogue_order_;
+    follow_order roster_order_;
+    base::time_point watch_until_;
+    base::time_point next_digest_;
     roster roster_;
     placement placement_;
     fair_share share_;
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -92,6 +93,11 @@
     token_count stored;
     /// Shared parts that this router used since its last report.
     std::vector<std::uint64_t> used_parts;
+    /// Parts that peers reported since the last digests, for the own data centre and for all.
+    std::set<std::uint64_t> heard_near;
+    std::set<std::uint64_t> heard_everywhere;
+    /// Sum of the growth of what the peers have stored.
+    std::uint64_t grown = 0;
     /// Shared parts of this router's running requests, with the number of those; the engine keeps them.
     std::unordered_map<part_id, std::uint32_t> in_use;
     /// Observed time to the first event over the predicted one, smoothed.
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -100,17 +100,24 @@
 struct catalogue_read {
     /// Null if it is unchanged.
     catalogue_ptr changed;
-    /// Just before the call that confirmed it was sent.
-    base::time_point asked;
+    /// Just before the call that confirmed it was sent; empty if the answer may have been old.
+    std::optional<base::time_point> asked;
 };
 
 struct roster_read {
     std::vector<upstream_entry> entries;
     bool after_outage = false;
+    /// Position of the store that the list belongs to.
+    std::uint64_t at = 0;
+    /// As in `catalogue_read`.
+    std::optional<base::time_point> asked;
 };
 
+/// Changes of the list of upstreams, none of which means that it was confirmed.
 struct roster_changed {
     std::vector<upstream_change> changes;
+    std::uint64_t at = 0;
+    std::optional<base::time_point> asked;
 };
 
 /// Routers that entered themselves in the store.
@@ -166,6 +173,20 @@
     base::upstream_id id;
 };
 
+/// How a view of the store is to be kept.
+struct follow_order {
+    /// Await changes at the store; otherwise only read what is wanted.
+    bool watch = true;
+    /// Wait for a shorter time in each call, since others depend on the view.
+    bool brief = true;
+    /// A version of the configuration, or a position of the list of upstreams, that is known to exist.
+    std::uint64_t wanted = 0;
+
+    friend bool operator==(const follow_order& a, const follow_order& b) {
+        return a.watch == b.watch && a.brief == b.brief && a.wanted == b.wanted;
+    }
+};
+
 using relay_command = std::variant<send_request, release_answer, end_request, retire_upstream>;
 
 } // namespace bluebell::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -67,6 +67,20 @@
 /// are placed, and callers may spread so unevenly that one router places most of them.
 constexpr double connection_share_of_one = 0.25;
 
+std::uint64_t own_stored(const upstream_state& state) {
+    return static_cast<std::uint64_t>(state.stored.value());
+}
+
+decision::upstream_work to_message(const base::upstream_id& id, const placed_work& work,
+                                   std::uint64_t stored) {
+    return {id,
+            work.running,
+            static_cast<std::uint64_t>(work.pending.value()),
+            static_cast<std::uint64_t>(work.memory.value()),
+            stored,
+            {}};
+}
+
 } // namespace
 
 void placement::set_catalogue(catalogue_ptr value) {
@@ -111,7 +125,7 @@
 }
 
 void placement::receive(const base::vm_id& from, const std::vector<decision::upstream_work>& work,
-                        base::time_point now) {
+                        base::time_point now, retelling scope) {
     peer_report& report = peers_[from];
     report.at = now;
     for (const decision::upstream_work& each : work) {
@@ -121,15 +135,84 @@
             each.stored_tokens > last.stored && last.stored > 0 ? each.stored_tokens - last.stored : 0;
         last = {{each.running, token_count(static_cast<std::int64_t>(each.pending_tokens)),
                  token_count(static_cast<std::int64_t>(each.memory_tokens))},
-                each.stored_tokens};
+                each.stored_tokens,
+                last.grown + stored};
         const auto state = states_.find(each.upstream);
         if (state != states_.end()) {
             state->second.peers += last.work;
             state->second.cache.store(token_count(static_cast<std::int64_t>(stored)));
+            state->second.grown += stored;
             for (const std::uint64_t part : each.parts) {
                 state->second.cache.touch(part_id(part));
             }
+            if (scope != retelling::none) {
+                std::set<std::uint64_t>& heard = scope == retelling::everywhere
+                                                     ? state->second.heard_everywhere
+                                                     : state->second.heard_near;
+                heard.insert(each.parts.begin(), each.parts.end());
+            }
+        }
+    }
+}
+
+/// What the fleet has at the upstream, less what `without` reported.
+decision::upstream_work placement::sum_without(const base::upstream_id& id, const upstream_state& state,
+                                               const std::set<base::vm_id>& without) const {
+    placed_work work = state.total();
+    std::uint64_t stored = own_stored(state) + state.grown;
+    for (const base::vm_id& vm : without) {
+        const auto report = peers_.find(vm);
+        if (report == peers_.end()) {
+            continue;
+        }
+        const auto reported = report->second.work.find(id);
+        if (reported != report->second.work.end()) {
+            work -= reported->second.work;
+            stored -= std::min(stored, reported->second.grown);
+        }
+    }
+    return to_message(id, work, stored);
+}
+
+void placement::begin_digests(base::time_point now) {
+    own_digest_.clear();
+    for (decision::upstream_work& work : own_work(now)) {
+        const base::upstream_id id = work.upstream;
+        own_digest_.emplace(id, std::move(work));
+    }
+}
+
+std::vector<decision::upstream_work> placement::digest(const std::set<base::vm_id>& without,
+                                                       retelling scope) const {
+    std::vector<decision::upstream_work> told;
+    for (const auto& [id, state] : states_) {
+        decision::upstream_work work = sum_without(id, state, without);
+        std::set<std::uint64_t> parts = state.heard_everywhere;
+        if (scope == retelling::own_data_centre) {
+            parts.insert(state.heard_near.begin(), state.heard_near.end());
+        }
+        const auto own = own_digest_.find(id);
+        if (own != own_digest_.end()) {
+            parts.insert(own->second.parts.begin(), own->second.parts.end());
+        }
+        if (work.running == 0 && parts.empty() && digested_.count(id) == 0) {
+            continue;
+        }
+        work.parts.assign(parts.begin(), parts.end());
+        told.push_back(std::move(work));
+    }
+    return told;
+}
+
+void placement::end_digests() {
+    digested_.clear();
+    own_digest_.clear();
+    for (auto& [id, state] : states_) {
+        if (state.total().running > 0) {
+            digested_.insert(id);
         }
+        state.heard_near.clear();
+        state.heard_everywhere.clear();
     }
 }
 
@@ -185,19 +268,15 @@
     return entry == entries_.end() || !catalogue_ ? nullptr : catalogue_->find(entry->second.pool);
 }
 
-std::vector<decision::upstream_work> placement::known_work() const {
+std::vector<decision::upstream_work> placement::known_work(const std::set<base::vm_id>* without) const {
     std::vector<decision::upstream_work> told;
     for (const auto& [id, state] : states_) {
         const pool* const kind = pool_of(id);
         if (kind == nullptr || !kind->engine) {
             continue;
         }
-        decision::upstream_work work{id,
-                                     state.own.running,
-                                     static_cast<std::uint64_t>(state.own.pending.value()),
-                                     static_cast<std::uint64_t>(state.own.memory.value()),
-                                     static_cast<std::uint64_t>(state.stored.value()),
-                                     {}};
+        decision::upstream_work work = without == nullptr ? to_message(id, state.own, own_stored(state))
+                                                          : sum_without(id, state, *without);
         for (const part_id part : state.cache.kept(room_for_parts(state, *kind), parts_told)) {
             work.parts.push_back(part.value());
         }
@@ -233,10 +312,8 @@
         if (state.own.running == 0 && state.used_parts.empty() && reported_.count(id) == 0) {
             continue;
         }
-        told.push_back({id, state.own.running, static_cast<std::uint64_t>(state.own.pending.value()),
-                        static_cast<std::uint64_t>(state.own.memory.value()),
-                        static_cast<std::uint64_t>(state.stored.value()),
-                        std::exchange(state.used_parts, {})});
+        told.push_back(to_message(id, state.own, own_stored(state)));
+        told.back().parts = std::exchange(state.used_parts, {});
         if (state.own.running > 0) {
             named.insert(id);
         }
@@ -376,6 +453,7 @@
     const keepers known = engine ? find_keepers(what, *kind, ready, now) : keepers{};
     const prefill_model& model = models_[what.pool];
     std::uniform_int_distribution<base::duration::rep> jitter(0, spread.count());
+    const std::size_t first = std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(random_);
     std::optional<placement_choice> best;
     base::duration best_cost{};
     for (std::size_t i = 0; i < ready.size(); ++i) {
@@ -387,6 +465,10 @@
         if (!engine && !has_room(entry, state, kind, what.memory, what.room)) {
             continue;
         }
+        const bool keeper = &ready[i] == known.first || &ready[i] == known.second;
+        if (what.sample > 0 && !keeper && (i + ready.size() - first) % ready.size() >= what.sample) {
+            continue;
+        }
         placement_choice choice;
         choice.upstream = entry.id;
         base::duration cost{};
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -35,6 +35,8 @@
     double room = 1;
     /// The same for an engine that would have to read shared parts again.
     double cold_room = 1;
+    /// Upstreams to consider, from a random one on, beside those that keep most of the prompt; zero for all.
+    std::size_t sample = 0;
 };
 
 struct placement_choice {
@@ -55,6 +57,13 @@
     bool full = false;
 };
 
+/// To whom a delegate passes on what a report says.
+enum class retelling {
+    none,            ///< this router is no delegate
+    own_data_centre, ///< it came from another delegate
+    everywhere,
+};
+
 /// Upstreams with the work that the fleet has placed on them, and the choice among them.
 /// Thread safety: used by one thread.
 class placement {
@@ -65,14 +74,23 @@
     /// Takes over the list of upstreams; forgets what was known of those that are gone or have restarted.
     void set_roster(const roster& list);
     void receive(const base::vm_id& from, const std::vector<decision::upstream_work>& work,
-                 base::time_point now);
+                 base::time_point now, retelling scope = retelling::none);
     /// The peer is gone; its requests end with its connections.
     void drop_peer(const base::vm_id& peer);
     /// Drops the work of peers that have fallen silent, and parts that no engine can keep any more.
     void update(base::time_point now);
     [[nodiscard]] std::vector<decision::upstream_work> own_work(base::time_point now);
+    /// Takes this router's own work into the digests until `end_digests`.
+    void begin_digests(base::time_point now);
+    /// The fleet's work less that of `without`, with the parts used since the last digests. Digests for
+    /// everywhere contain only parts that may be told everywhere.
+    [[nodiscard]] std::vector<decision::upstream_work> digest(const std::set<base::vm_id>& without,
+                                                              retelling scope) const;
+    void end_digests();
     /// The same with the parts that each engine probably keeps, for a router that has just joined.
-    [[nodiscard]] std::vector<decision::upstream_work> known_work() const;
+    /// `without` is null where the work is this router's own, and otherwise as for `digest`.
+    [[nodiscard]] std::vector<decision::upstream_work>
+    known_work(const std::set<base::vm_id>* without = nullptr) const;
     /// Prompt tokens placed since the last `own_work`.
     [[nodiscard]] token_count unreported() const { return unreported_; }
 
@@ -102,11 +120,16 @@
     struct peer_work {
         placed_work work;
         std::uint64_t stored = 0;
+        /// Sum of the growth of `stored` that was seen here.
+        std::uint64_t grown = 0;
     };
     struct peer_report {
         std::map<base::upstream_id, peer_work> work;
         base::time_point at;
     };
+    [[nodiscard]] decision::upstream_work sum_without(const base::upstream_id& id,
+                                                      const upstream_state& state,
+                                                      const std::set<base::vm_id>& without) const;
     [[nodiscard]] placed_work peers_work(const base::upstream_id& upstream) const;
     void withdraw(const base::upstream_id& upstream, peer_work& reported);
     /// A ready upstream; both live in the maps below.
@@ -148,6 +171,9 @@
     std::map<base::pool_id, prefill_model> models_;
     /// Upstreams that the last report named, so that their end is reported too.
     std::set<base::upstream_id> reported_;
+    /// The same of the last digests.
+    std::set<base::upstream_id> digested_;
+    std::map<base::upstream_id, decision::upstream_work> own_digest_;
     base::time_point next_expiry_;
     base::time_point next_refresh_;
     token_count unreported_;
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -111,6 +111,33 @@
     return told;
 }
 
+std::vector<decision::account_work> fair_share::digest(const std::set<base::vm_id>& without,
+                                                       base::time_point now) {
+    move_origin(now);
+    const double factor = weight(now);
+    std::vector<decision::account_work> told;
+    for (const auto& [account, value] : fleet_) {
+        rate rest = value;
+        for (const base::vm_id& vm : without) {
+            const auto report = peers_.find(vm);
+            if (report == peers_.end()) {
+                continue;
+            }
+            const auto reported = report->second.accounts.find(account);
+            if (reported != report->second.accounts.end()) {
+                rest.served -= reported->second.served;
+                rest.asked -= reported->second.asked;
+            }
+        }
+        const double served = std::max(0.0, rest.served) / factor;
+        const double asked = std::max(0.0, rest.asked) / factor;
+        if (asked >= negligible || served >= negligible) {
+            told.push_back({account, base::cost(served), base::cost(asked)});
+        }
+    }
+    return told;
+}
+
 void fair_share::update(base::time_point now) {
     move_origin(now);
     std::vector<base::vm_id> silent;
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bluebell::dispatch {
@@ -32,6 +33,10 @@
     /// This router's part, for the peers.
     [[nodiscard]] std::vector<decision::account_work> own(base::time_point now);
 
+    /// The fleet's part less that of `without`.
+    [[nodiscard]] std::vector<decision::account_work> digest(const std::set<base::vm_id>& without,
+                                                             base::time_point now);
+
     /// Brings the level up to date; to be called every few ten milliseconds.
     void update(base::time_point now);
     /// Fleet service of the account over its fair level: below one it is owed service, above it is ahead.
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -59,6 +59,13 @@
                 {base::error_code::worker_failed, "dispatcher", "the relay takes no orders"});
         }
     }
+    // Closed while the follower starts again; it watches until it is told otherwise.
+    if (output.catalogue_order) {
+        links_.catalogue_orders.try_push(std::move(*output.catalogue_order));
+    }
+    if (output.roster_order) {
+        links_.roster_orders.try_push(std::move(*output.roster_order));
+    }
     // The next report replaces one that is lost.
     for (decision::datagram& sent : output.datagrams) {
         links_.datagrams.try_push(std::move(sent));
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -25,6 +25,8 @@
     base::ring<event>& events;
     base::ring<relay_command>& relay;
     base::ring<decision::datagram>& datagrams;
+    base::ring<follow_order>& catalogue_orders;
+    base::ring<follow_order>& roster_orders;
     base::snapshot<router_state>& state;
 };
 
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t event_capacity = 4096;
 constexpr std::size_t command_capacity = 4096;
 constexpr std::size_t datagram_capacity = 1024;
+constexpr std::size_t order_capacity = 64;
 constexpr base::duration report_timeout = std::chrono::seconds(1);
 constexpr base::restart_limit subtree_limit{5, std::chrono::seconds(10)};
 constexpr base::restart_limit root_limit{5, std::chrono::minutes(1)};
@@ -56,6 +57,9 @@
                        "memory of the process"),
         ranged_setting("limits", "descriptors", setting_type::integer, "4096", "1500", "1000000",
                        "file descriptors of the process"),
+        ranged_setting(
+            "limits", "processor", setting_type::decimal, "1", "0.001", "1024",
+            "processor time of the VM in cores; routers with more of it speak for a data centre first"),
         ranged_setting("upstream", "connect_timeout", setting_type::time_span, "500ms", "20ms", "10s",
                        "longest wait for a connection to an upstream"),
         ranged_setting("bounds", "revocation", setting_type::time_span, "5s", "500ms", "1h",
@@ -87,6 +91,7 @@
     to.roster_wait = from.time("store", "upstreams_wait");
     to.memory = from.bytes("limits", "memory");
     to.descriptors = from.integer("limits", "descriptors");
+    to.processor = from.decimal("limits", "processor");
     to.connect_timeout = from.time("upstream", "connect_timeout");
     to.revocation = from.time("bounds", "revocation");
     to.retry_ratio = from.decimal("bounds", "retry_ratio");
@@ -121,6 +126,7 @@
 node::node(node_options settings, node_adapters adapters)
     : settings_(std::move(settings)), adapters_(std::move(adapters)), codec_(settings_.fleet),
       events_(event_capacity), commands_(command_capacity), datagrams_(datagram_capacity),
+      catalogue_orders_(order_capacity), roster_orders_(order_capacity),
       root_("root", base::restart_strategy::rest_for_one, root_limit, clock_) {
     // The others tell the dispatcher what it has to know, so they start again after it.
     add_dispatch();
@@ -144,6 +150,7 @@
     self.data_centre = settings_.data_centre;
     self.control = settings_.control;
     self.admin = settings_.ops;
+    self.processor = settings_.processor;
     store::follower_settings catalogue;
     catalogue.wait = settings_.catalogue_wait;
     catalogue.seed = system_seed();
@@ -151,9 +158,10 @@
     roster.wait = settings_.roster_wait;
     roster.seed = system_seed();
     std::unique_ptr<base::supervisor> tree = subtree("store");
-    tree->add(
-        std::make_unique<store::catalogue_follower>(adapters_.directory(clock_), events_, clock_, catalogue));
-    tree->add(std::make_unique<store::roster_follower>(adapters_.directory(clock_), events_, clock_, roster));
+    tree->add(std::make_unique<store::catalogue_follower>(
+        adapters_.directory(clock_), store::follower_links{events_, catalogue_orders_}, clock_, catalogue));
+    tree->add(std::make_unique<store::roster_follower>(
+        adapters_.directory(clock_), store::follower_links{events_, roster_orders_}, clock_, roster));
     tree->add(std::make_unique<store::registrar>(adapters_.directory(clock_), events_, self, system_seed()));
     root_.add(std::move(tree));
 }
@@ -172,7 +180,7 @@
         std::make_unique<base::supervisor>("dispatch", base::restart_strategy::one_for_one,
                                            base::restart_limit{0, std::chrono::seconds(10)}, clock_);
     tree->add(std::make_unique<dispatch::dispatch_worker>(
-        dispatch::dispatch_links{events_, commands_, datagrams_, state_},
+        dispatch::dispatch_links{events_, commands_, datagrams_, catalogue_orders_, roster_orders_, state_},
         [this] { return dispatcher_options(); }, clock_));
     root_.add(std::move(tree));
 }
@@ -203,6 +211,7 @@
     made.member.address = settings_.control;
     made.member.seed = system_seed();
     made.data_centre = settings_.data_centre;
+    made.processor = settings_.processor;
     made.freshness = std::chrono::duration_cast<base::duration>(settings_.revocation * freshness_share);
     made.retry_ratio = settings_.retry_ratio;
     made.retry_slack = settings_.retry_slack;
--- a/src/root/node.h
+++ b/src/root/node.h
@@ -38,6 +38,8 @@
     base::duration roster_wait{};
     base::byte_count memory;
     std::int64_t descriptors = 0;
+    /// In cores.
+    double processor = 1;
     base::duration connect_timeout{};
     base::duration revocation{};
     double retry_ratio = 0;
@@ -100,6 +102,8 @@
     base::ring<dispatch::event> events_;
     base::ring<dispatch::relay_command> commands_;
     base::ring<decision::datagram> datagrams_;
+    base::ring<dispatch::follow_order> catalogue_orders_;
+    base::ring<dispatch::follow_order> roster_orders_;
     std::atomic<bool> failed_{false};
     base::supervisor root_;
 };
--- a/src/store/directory.h
+++ b/src/store/directory.h
@@ -45,12 +45,12 @@
     directory& operator=(directory&&) = delete;
     virtual ~directory() = default;
 
-    virtual base::result<catalogue_reading> read_catalogue() = 0;
+    /// An answer that is not `exact` may be seconds old and costs less; the same for the other lists.
+    virtual base::result<catalogue_reading> read_catalogue(bool exact) = 0;
     /// Returns at the first change after `from`, or unchanged after `wait`.
     virtual base::result<catalogue_reading> await_catalogue(position from, base::duration wait) = 0;
-    virtual base::result<roster_reading> read_upstreams() = 0;
+    virtual base::result<roster_reading> read_upstreams(bool exact) = 0;
     virtual base::result<roster_changes> await_upstreams(position from, base::duration wait) = 0;
-    /// An answer that is not `exact` may be seconds old and costs less.
     virtual base::result<std::vector<decision::vm_entry>> read_routers(bool exact) = 0;
     /// Enters this router, or replaces its entry.
     virtual base::result<void> announce_router(const decision::vm_entry& self) = 0;
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -18,6 +18,11 @@
 constexpr base::duration first_retry = std::chrono::milliseconds(200);
 constexpr base::duration longest_retry = std::chrono::seconds(3);
 constexpr base::duration ring_wait = std::chrono::seconds(1);
+/// Cheap reads that may turn out older than what is wanted before an exact one, and the pause between two.
+constexpr std::uint32_t cheap_reads = 3;
+constexpr base::duration stale_pause = std::chrono::milliseconds(150);
+/// Longest wait for an order while there is nothing to read.
+constexpr base::duration idle_wait = std::chrono::seconds(1);
 /// An outage shorter than this does not let entries lapse, which takes three missed heartbeats.
 constexpr base::duration short_outage = std::chrono::seconds(1);
 
@@ -29,16 +34,45 @@
 
 } // namespace
 
-follower::follower(std::unique_ptr<directory> source, base::ring<dispatch::event>& events,
-                   const base::clock& time, const follower_settings& settings)
-    : source_(std::move(source)), events_(events), clock_(time), settings_(settings), random_(settings.seed) {
+follower::follower(std::unique_ptr<directory> source, follower_links links, const base::clock& time,
+                   const follower_settings& settings)
+    : source_(std::move(source)), links_(links), clock_(time), settings_(settings), random_(settings.seed) {}
+
+void follower::take_orders(base::duration wait) {
+    while (const std::optional<dispatch::follow_order> next = links_.orders.pop(wait)) {
+        order_ = *next;
+        wait = base::duration::zero();
+    }
+}
+
+/// The cheap answers may be older than what is wanted; an exact one is asked for in the end.
+base::result<position> follower::refresh(position from) {
+    base::result<position> got = read(false, stale_reads_ >= cheap_reads);
+    if (got && reached_ < order_.wanted) {
+        ++stale_reads_;
+        take_orders(stale_pause);
+    } else {
+        stale_reads_ = 0;
+    }
+    // A cheap answer must not move the position back from which changes are awaited.
+    return got ? base::result<position>(std::max(*got, from)) : got;
 }
 
 void follower::run(base::stop_signal& stop) {
     std::optional<position> at;
+    if (links_.orders.closed()) {
+        links_.orders.reopen();
+    }
+    order_ = {};
     while (!stop.requested()) {
+        take_orders(base::duration::zero());
+        const bool idle = at && !order_.watch;
+        if (idle && reached_ >= order_.wanted) {
+            take_orders(idle_wait);
+            continue;
+        }
         const bool outage = failing_since_ && now() - *failing_since_ >= short_outage;
-        base::result<position> got = at ? await(*at) : read(outage);
+        base::result<position> got = idle ? refresh(*at) : at ? await(*at) : read(outage, true);
         if (got) {
             if (failing_since_) {
                 base::log_event(
@@ -80,7 +114,7 @@
 }
 
 void follower::tell(dispatch::event what) {
-    const base::push_result pushed = events_.push(std::move(what), ring_wait);
+    const base::push_result pushed = links_.events.push(std::move(what), ring_wait);
     if (pushed == base::push_result::full) {
         throw base::fatal_error({base::error_code::worker_failed, name(), "the dispatcher takes no events"});
     }
@@ -90,14 +124,13 @@
     }
 }
 
-base::result<position> catalogue_follower::read(bool /*after_outage*/) {
+base::result<position> catalogue_follower::read(bool /*after_outage*/, bool exact) {
     const base::time_point asked = now();
-    base::result<catalogue_reading> got = source().read_catalogue();
+    base::result<catalogue_reading> got = source().read_catalogue(exact);
     if (!got) {
         return tl::unexpected(got.error());
     }
-    tell(dispatch::catalogue_read{std::move(got->value), asked});
-    return got->at;
+    return take(std::move(*got), exact ? std::optional<base::time_point>(asked) : std::nullopt);
 }
 
 base::result<position> catalogue_follower::await(position from) {
@@ -106,27 +139,41 @@
     if (!got) {
         return tl::unexpected(got.error());
     }
-    tell(dispatch::catalogue_read{std::move(got->value), asked});
-    return got->at;
+    return take(std::move(*got), asked);
+}
+
+position catalogue_follower::take(catalogue_reading got, std::optional<base::time_point> asked) {
+    if (got.value) {
+        reached(got.value->version.value());
+    }
+    tell(dispatch::catalogue_read{std::move(got.value), asked});
+    return got.at;
 }
 
-base::result<position> roster_follower::read(bool after_outage) {
-    base::result<roster_reading> got = source().read_upstreams();
+base::result<position> roster_follower::read(bool after_outage, bool exact) {
+    const base::time_point asked = now();
+    base::result<roster_reading> got = source().read_upstreams(exact);
     if (!got) {
         return tl::unexpected(got.error());
     }
-    tell(dispatch::roster_read{std::move(got->entries), after_outage});
+    // An old list must not bring back upstreams that are gone.
+    const bool older = got->at.value() < reached_mark();
+    reached(got->at.value());
+    if (!older) {
+        tell(dispatch::roster_read{std::move(got->entries), after_outage, got->at.value(),
+                                   exact ? std::optional<base::time_point>(asked) : std::nullopt});
+    }
     return got->at;
 }
 
 base::result<position> roster_follower::await(position from) {
+    const base::time_point asked = now();
     base::result<roster_changes> got = source().await_upstreams(from, wait());
     if (!got) {
         return tl::unexpected(got.error());
     }
-    if (!got->changes.empty()) {
-        tell(dispatch::roster_changed{std::move(got->changes)});
-    }
+    reached(got->at.value());
+    tell(dispatch::roster_changed{std::move(got->changes), got->at.value(), asked});
     return got->at;
 }
 
