--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -119,6 +119,12 @@
                             spdlog::pattern_time_type::utc);
 }
 
+void set_log_level(log_level lowest) {
+    if (state().logger) {
+        state().logger->set_level(to_spdlog(lowest));
+    }
+}
+
 void log_event(log_level level, std::string_view module, std::string_view event,
                std::initializer_list<log_field> fields) {
     log_state& log = state();
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -44,6 +44,9 @@
 /// Pre-condition: called once, before other threads start.
 void start_log(log_level lowest, const std::string& process, log_output output = log_output::standard_error);
 
+/// Changes the lowest level that is written.
+void set_log_level(log_level lowest);
+
 /// Lines that were dropped because the output took none.
 unsigned long dropped_log_lines();
 
--- a/src/decision/retry.h
+++ b/src/decision/retry.h
@@ -26,6 +26,8 @@
 public:
     explicit retry_budget(retry_settings settings) : settings_(settings) {}
 
+    /// Sets the retries per first attempt.
+    void set_ratio(double ratio) { settings_.ratio = ratio; }
     /// Sets the retries a second that are always allowed, as the share of this router changes.
     void set_minimum(double per_s) { settings_.minimum_per_s = per_s; }
     void first_attempt(const base::pool_id& pool, base::time_point now);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -128,9 +128,9 @@
 }
 
 dispatcher::dispatcher(const dispatcher_settings& settings, base::time_point now)
-    : settings_(settings), now_(now), members_(settings.member, now),
+    : settings_(settings), bounds_(settings.bounds), now_(now), members_(settings.member, now),
       delegation_(settings.member.self, settings.data_centre, settings.processor),
-      placement_(settings.data_centre, settings.seed), budget_({settings.retry_ratio * budget_use, 0}),
+      placement_(settings.data_centre, settings.seed), budget_({settings.bounds.retry_ratio * budget_use, 0}),
       crashes_({distinct_crashes, std::chrono::minutes(10), 4096}), next_report_(now), next_pass_(now),
       random_(settings.seed) {
     update_budget();
@@ -176,7 +176,7 @@
         }
         direct_followers();
         send_report();
-        next_report_ = now + settings_.report_interval;
+        next_report_ = now + bounds_.report_interval;
     }
     if (now >= next_pass_) {
         serve_queues();
@@ -203,7 +203,7 @@
 }
 
 bool dispatcher::fresh(base::time_point now) const {
-    return confirmed_ && now - *confirmed_ <= settings_.freshness;
+    return confirmed_ && now - *confirmed_ <= bounds_.freshness;
 }
 
 bool dispatcher::ready(base::time_point now) const {
@@ -212,7 +212,7 @@
     }
     // Without any router that reaches the store, the balancer has no better one to choose.
     const std::optional<base::time_point> peer = members_.peer_confirmed();
-    return fresh(now) || !peer || now - *peer > settings_.freshness;
+    return fresh(now) || !peer || now - *peer > bounds_.freshness;
 }
 
 bool dispatcher::drained(base::time_point now) const {
@@ -220,7 +220,7 @@
         return false;
     }
     const base::duration since = now - *drain_began_;
-    return since >= settings_.drain_limit || (sessions_.empty() && since >= settings_.drain_least);
+    return since >= bounds_.drain_limit || (sessions_.empty() && since >= settings_.drain_least);
 }
 
 std::optional<error_code> dispatcher::refusal(const request_read& what, const route& via) const {
@@ -236,6 +236,12 @@
     return std::nullopt;
 }
 
+void dispatcher::on(const dispatcher_bounds& what) {
+    bounds_ = what;
+    budget_.set_ratio(bounds_.retry_ratio * budget_use);
+    update_budget();
+}
+
 void dispatcher::on(const relay_started& /*what*/) {
     while (!sessions_.empty()) {
         forget(sessions_.begin()->first);
@@ -899,7 +905,7 @@
 
 /// This router's part of the retries that the fleet may always make.
 void dispatcher::update_budget() {
-    budget_.set_minimum(settings_.retry_slack * budget_use / static_cast<double>(fleet_size()) /
+    budget_.set_minimum(bounds_.retry_slack * budget_use / static_cast<double>(fleet_size()) /
                         static_cast<double>(decision::retry_budget::window.count()));
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -25,18 +25,11 @@
     base::data_centre_id data_centre;
     /// Processor time of this VM, in cores.
     double processor = 1;
-    /// Age of the last confirmation of the configuration up to which keys are accepted.
-    base::duration freshness = std::chrono::milliseconds(3500);
-    /// Retries of the whole fleet: a share of the requests and a fixed number, within
-    /// `decision::retry_budget::window`.
-    double retry_ratio = 0.1;
-    double retry_slack = 10;
-    base::duration report_interval = std::chrono::milliseconds(100);
+    dispatcher_bounds bounds;
     /// How long a router that drains still takes requests, so that balancers notice.
     base::duration drain_accept = std::chrono::milliseconds(3000);
-    /// How long a router that drains stays at least, and at most.
+    /// How long a router that drains stays at least.
     base::duration drain_least = std::chrono::milliseconds(3200);
-    base::duration drain_limit = std::chrono::milliseconds(7500);
     std::uint64_t seed = 1;
 };
 
@@ -109,6 +102,7 @@
         base::time_point at;
     };
 
+    void on(const dispatcher_bounds& what);
     void on(const relay_started& what);
     void on(const request_read& what);
     void on(const caller_left& what);
@@ -158,6 +152,7 @@
     [[nodiscard]] std::size_t fleet_size() const;
 
     const dispatcher_settings settings_;
+    dispatcher_bounds bounds_;
     base::time_point now_;
     decision::member members_;
     catalogue_ptr catalogue_;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -125,11 +125,24 @@
     std::vector<decision::vm_entry> peers;
 };
 
+/// Limits that may change while the router runs.
+struct dispatcher_bounds {
+    /// Age of the last confirmation of the configuration up to which keys are accepted.
+    base::duration freshness = std::chrono::milliseconds(3500);
+    /// Retries of the whole fleet: a share of the requests and a fixed number, within
+    /// `decision::retry_budget::window`.
+    double retry_ratio = 0.1;
+    double retry_slack = 10;
+    base::duration report_interval = std::chrono::milliseconds(100);
+    /// How long a router that drains stays at most.
+    base::duration drain_limit = std::chrono::milliseconds(7500);
+};
+
 /// The relay has started without any request in progress; those that it had before are lost.
 struct relay_started {};
 
-using event = std::variant<relay_started, request_read, caller_left, answer_began, attempt_over,
-                           catalogue_read, roster_read, roster_changed, peers_read,
+using event = std::variant<relay_started, dispatcher_bounds, request_read, caller_left, answer_began,
+                           attempt_over, catalogue_read, roster_read, roster_changed, peers_read,
                            decision::message_received, decision::drain_requested, decision::report_requested>;
 
 // What the dispatcher orders.
--- a/src/root/daemon.cpp
+++ b/src/root/daemon.cpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <exception>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace bluebell::root {
@@ -220,6 +221,13 @@
              depth("journal", journal_), depth("release", release_), depth("load", load_)}};
 }
 
+void daemon::reload(const settings_file& file, const std::string& text) {
+    std::istringstream in(text);
+    const tl::expected<options, std::vector<base::error>> read = read_options(in, file.path());
+    // All settings of this program hold from the next start.
+    report_reload(true, read ? std::vector<base::error>() : read.error());
+}
+
 std::string daemon::dump_text() {
     const base::result<decision::state_report> report = dump();
     return "{\"tree\":" + edge::to_json(root_.report()) +
--- a/src/root/daemon.h
+++ b/src/root/daemon.h
@@ -42,6 +42,7 @@
 
     [[nodiscard]] const options& settings() const { return settings_; }
     /// The state of the whole process as JSON.
+    void reload(const settings_file& file, const std::string& text) override;
     std::string dump_text() override;
 
 private:
--- a/src/root/main.cpp
+++ b/src/root/main.cpp
@@ -27,7 +27,7 @@
   --version            Show the version.
 
 Signals: TERM and INT drain the router and stop it, a second one stops it at once; USR1 writes the state of the
-process to standard error as one JSON line.
+process to standard error as one JSON line; HUP checks the settings again, which hold from the next start.
 
 Exit codes: 0 stopped or settings are good, 1 failed, 2 bad settings or usage.
 
@@ -53,7 +53,7 @@
     return of.ip + ':' + std::to_string(of.port);
 }
 
-int run(options settings) {
+int run(options settings, const std::string& file) {
     const sigset_t signals = bluebell::root::block_signals();
     choose_ports(settings);
     bluebell::base::start_log(settings.log, "bluebelld");
@@ -61,7 +61,7 @@
     router.start();
     std::cout << "listening callers=" << text(settings.callers) << " admin=" << text(settings.admin)
               << " control=" << text(settings.control) << std::endl;
-    return bluebell::root::serve(router, signals);
+    return bluebell::root::serve(router, signals, bluebell::root::settings_file(file));
 }
 
 } // namespace
@@ -69,11 +69,12 @@
 int main(int argc, char** argv) {
     return bluebell::root::run_program(usage, "bluebelld", argc, argv, [](bluebell::root::arguments& args) {
         const bool check = args["--check-config"].isString();
-        const std::optional<options> settings = bluebell::root::load_options(
-            args[check ? "--check-config" : "--config"].asString(), bluebell::root::read_options);
+        const std::string file = args[check ? "--check-config" : "--config"].asString();
+        const std::optional<options> settings =
+            bluebell::root::load_options(file, bluebell::root::read_options);
         if (!settings) {
             return bluebell::root::exit_usage;
         }
-        return check ? bluebell::root::exit_good : run(*settings);
+        return check ? bluebell::root::exit_good : run(*settings, file);
     });
 }
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -10,6 +10,8 @@
 
 #include <chrono>
 #include <optional>
+#include <sstream>
+#include <tuple>
 #include <utility>
 
 namespace bluebell::root {
@@ -102,6 +104,26 @@
     return to;
 }
 
+dispatch::dispatcher_bounds to_bounds(const node_options& from) {
+    dispatch::dispatcher_bounds made;
+    made.freshness = std::chrono::duration_cast<base::duration>(from.revocation * freshness_share);
+    made.retry_ratio = from.retry_ratio;
+    made.retry_slack = from.retry_slack;
+    made.report_interval = from.report_interval;
+    made.drain_limit = from.stop_limit - stop_margin;
+    return made;
+}
+
+/// Whether a running process can take over everything that differs.
+bool same_after_reload(const node_options& a, const node_options& b) {
+    const auto fixed = [](const node_options& of) {
+        return std::tie(of.vm, of.data_centre, of.fleet, of.callers, of.ops, of.ready_path, of.control,
+                        of.store, of.store_timeout, of.catalogue_wait, of.roster_wait, of.memory,
+                        of.descriptors, of.processor, of.connect_timeout);
+    };
+    return fixed(a) == fixed(b);
+}
+
 } // namespace
 
 const std::vector<base::setting_spec>& node_schema() {
@@ -128,6 +150,7 @@
       events_(event_capacity), commands_(command_capacity), datagrams_(datagram_capacity),
       catalogue_orders_(order_capacity), roster_orders_(order_capacity),
       root_("root", base::restart_strategy::rest_for_one, root_limit, clock_) {
+    in_force_.publish(std::make_shared<const node_options>(settings_));
     // The others tell the dispatcher what it has to know, so they start again after it.
     add_dispatch();
     add_fleet();
@@ -205,6 +228,7 @@
 }
 
 dispatch::dispatcher_settings node::dispatcher_options() const {
+    const std::shared_ptr<const node_options> now = in_force_.current();
     dispatch::dispatcher_settings made;
     made.member.self = settings_.vm;
     made.member.life = new_life();
@@ -212,15 +236,23 @@
     made.member.seed = system_seed();
     made.data_centre = settings_.data_centre;
     made.processor = settings_.processor;
-    made.freshness = std::chrono::duration_cast<base::duration>(settings_.revocation * freshness_share);
-    made.retry_ratio = settings_.retry_ratio;
-    made.retry_slack = settings_.retry_slack;
-    made.report_interval = settings_.report_interval;
-    made.drain_limit = settings_.stop_limit - stop_margin;
+    made.bounds = to_bounds(*now);
     made.seed = system_seed();
     return made;
 }
 
+void node::reload(const settings_file& file, const std::string& text) {
+    std::istringstream in(text);
+    const tl::expected<node_options, std::vector<base::error>> read = read_node_options(in, file.path());
+    if (!read) {
+        return report_reload(false, read.error());
+    }
+    report_reload(!same_after_reload(*in_force_.current(), *read), {});
+    in_force_.publish(std::make_shared<const node_options>(*read));
+    base::set_log_level(read->log);
+    events_.push(to_bounds(*read), report_timeout);
+}
+
 void node::start() {
     root_.start([this](const base::error&) { failed_ = true; });
 }
--- a/src/root/node.h
+++ b/src/root/node.h
@@ -79,6 +79,8 @@
     void drain() override;
     [[nodiscard]] bool drained() const override;
     [[nodiscard]] bool failed() const override { return failed_; }
+    /// Bounds, the report interval and the log level hold at once, everything else from the next start.
+    void reload(const settings_file& file, const std::string& text) override;
     std::string dump_text() override;
 
 private:
@@ -92,6 +94,8 @@
     std::string metrics_text();
 
     const node_options settings_;
+    /// The settings of the last reload, or those of the start.
+    base::snapshot<node_options> in_force_;
     const node_adapters adapters_;
     base::boot_clock clock_;
     base::metrics metrics_;
--- a/src/root/process.cpp
+++ b/src/root/process.cpp
@@ -11,6 +11,17 @@
 /// Interval at which the state of the router is looked at between signals.
 constexpr long poll_ns = 100'000'000;
 constexpr int exit_failed = 1;
+/// Looks at the state between two looks at the settings file, which may change without a signal.
+constexpr int polls_per_check = 10;
+
+/// Returns whether the settings have changed.
+bool reload(process& router, settings_file& settings) {
+    const std::optional<std::string> text = settings.changed();
+    if (text) {
+        router.reload(settings, *text);
+    }
+    return text.has_value();
+}
 
 } // namespace
 
@@ -25,16 +36,21 @@
     return signals;
 }
 
-int serve(process& router, const sigset_t& signals) {
+int serve(process& router, const sigset_t& signals, settings_file settings) {
     bool draining = false;
+    int polls = 0;
     while (!router.drained() && !router.failed()) {
         const timespec timeout{0, poll_ns};
         const int received = sigtimedwait(&signals, nullptr, &timeout);
+        if (received < 0 && ++polls >= polls_per_check) {
+            polls = 0;
+            reload(router, settings);
+        }
         if (received == SIGUSR1) {
             std::cerr << router.dump_text() << std::endl;
         } else if (received == SIGHUP) {
-            base::log_event(base::log_level::info, "process", "reload_requested",
-                            {{"effect", "settings are read at the next start"}});
+            const bool changed = reload(router, settings);
+            base::log_event(base::log_level::info, "process", "reload_requested", {{"changed", changed}});
         } else if (received == SIGTERM || received == SIGINT) {
             base::log_event(base::log_level::info, "process", "stop_requested", {{"again", draining}});
             if (draining) {
