--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -71,10 +71,8 @@
 constexpr double delegated_room = 0.8;
 /// Interval at which a delegate tells the sums of the reports.
 constexpr base::duration digest_interval = std::chrono::milliseconds(150);
-/// Age of a delegate's view from which on a router asks the store itself, and for how long. A view ages up to
-/// two waits of the delegate's calls, and the way of a report and its answer.
-constexpr base::duration delegate_freshness = std::chrono::milliseconds(1500);
-constexpr base::duration own_watch_time = std::chrono::seconds(2);
+/// How long a router asks the store itself when the view of its delegate is old.
+constexpr base::duration own_watch_time = std::chrono::seconds(1);
 /// Part of the fleet's retry budget that the routers use together; the rest covers routers that come and go.
 constexpr double budget_use = 0.8;
 /// Tokens read count once, tokens generated twice, in the service of accounts.
@@ -786,7 +784,7 @@
     const bool depends = delegation_.needed() && !delegation_.leads();
     if (!depends) {
         delegate_confirmed_ = now_; // a delegate that is chosen later has this long to answer
-    } else if (now_ - delegate_confirmed_ > delegate_freshness) {
+    } else if (now_ - delegate_confirmed_ > bounds_.delegate_freshness) {
         watch_until_ = now_ + own_watch_time;
     }
     follow_order catalogue_order;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -133,6 +133,8 @@
     double retry_ratio = 0.1;
     double retry_slack = 10;
     base::duration report_interval = std::chrono::milliseconds(100);
+    /// Age of a delegate's view of the store from which on a router asks the store itself.
+    base::duration delegate_freshness = std::chrono::milliseconds(1500);
     /// How long a router that drains stays at most.
     base::duration drain_limit = std::chrono::milliseconds(7500);
 };
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -31,6 +31,9 @@
 /// Part of the revocation bound that a confirmation of the configuration may be old. The rest covers the way
 /// of a request to its upstream.
 constexpr double freshness_share = 0.7;
+/// Part of the drain bound that a delegate's view may be old before its routers ask the store themselves. A
+/// view ages up to two waits of the delegate's calls, and the way of a report and its answer.
+constexpr double delegate_share = 0.75;
 /// Descriptors that are not for callers: the store, logs, datagrams and connections to upstreams.
 constexpr std::int64_t reserved_descriptors = 1200;
 /// Part of the memory that bodies of requests in progress may take.
@@ -70,6 +73,8 @@
                        "retries of the fleet for each request of a pool within ten seconds"),
         ranged_setting("bounds", "retry_slack", setting_type::decimal, "10", "0", "100000",
                        "retries of the fleet that a pool may have besides"),
+        ranged_setting("bounds", "drain", setting_type::time_span, "2s", "500ms", "1h",
+                       "an upstream that leaves gets no new work after this time"),
         ranged_setting("bounds", "stop", setting_type::time_span, "8s", "2s", "1h",
                        "time from the signal to stop until the process is killed"),
         ranged_setting("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "5s",
@@ -98,6 +103,7 @@
     to.revocation = from.time("bounds", "revocation");
     to.retry_ratio = from.decimal("bounds", "retry_ratio");
     to.retry_slack = from.decimal("bounds", "retry_slack");
+    to.drain = from.time("bounds", "drain");
     to.stop_limit = from.time("bounds", "stop");
     to.report_interval = from.time("schedule", "report_interval");
     to.log = base::log_level_of(from.text("log", "level"));
@@ -110,6 +116,7 @@
     made.retry_ratio = from.retry_ratio;
     made.retry_slack = from.retry_slack;
     made.report_interval = from.report_interval;
+    made.delegate_freshness = std::chrono::duration_cast<base::duration>(from.drain * delegate_share);
     made.drain_limit = from.stop_limit - stop_margin;
     return made;
 }
--- a/src/root/node.h
+++ b/src/root/node.h
@@ -46,6 +46,7 @@
     double retry_slack = 0;
     base::duration report_interval{};
     base::duration stop_limit{};
+    base::duration drain{};
     base::log_level log = base::log_level::info;
 };
 
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -11,7 +11,7 @@
 /// Interval between two looks at the entries of the other routers; those that start later introduce
 /// themselves.
 constexpr base::duration peer_interval = std::chrono::seconds(20);
-/// Reads after the start that have to be exact, and their interval: routers that start together enter
+/// Reads after the start, and their interval: routers that start together enter
 /// themselves within a second.
 constexpr int start_reads = 3;
 constexpr base::duration start_interval = std::chrono::seconds(2);
@@ -195,21 +195,23 @@
 
 void registrar::run(base::stop_signal& stop) {
     base::duration pause = first_retry;
-    int exact_reads = 0;
+    int reads = 0;
     while (!stop.requested()) {
         announced_ = announced_ || announce();
-        const bool exact = exact_reads < start_reads;
+        const bool starting = reads < start_reads;
+        // The list between the first and the last reading of the start may be old.
+        const bool exact = reads == 0 || reads == start_reads - 1;
         base::result<std::vector<decision::vm_entry>> peers = source_->read_routers(exact);
         if (peers) {
             events_.push(dispatch::peers_read{std::move(*peers)}, ring_wait);
-            exact_reads += announced_ && exact ? 1 : 0;
+            reads += announced_ && starting ? 1 : 0;
         }
         const bool done = announced_ && peers;
         if (!done) {
             stop.wait_for(jittered(pause, random_));
             pause = std::min(pause * 2, longest_retry);
         } else {
-            stop.wait_for(jittered(exact ? start_interval : peer_interval, random_));
+            stop.wait_for(jittered(starting ? start_interval : peer_interval, random_));
             pause = first_retry;
         }
     }
