Log the worst served account and the requests that the relay refuses

Three hypotheses, which the logs could not tell apart: 1. Engines are full of accounts near their share, so that one far below it is refused like the others; only the queue of one router prefers it. 2. Routers see the service of accounts late or twice, through delegates. 3. A router behind with its work refuses by its lag, whatever the account, and the callers of a small account all meet that router. These refusals had no log line.

Change: while engines are overloaded, a line each second with the account of the least share, what it requested and was served, and the pressure; the share stands in the dump as well. A line for each request that the relay refuses itself, with the lag. No decision changes.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -50,6 +50,8 @@
 constexpr double throttle_start = 0.95;
 constexpr double throttle_end = 1.35;
 constexpr double min_fairness_factor = 0.1;
+/// Interval of the log lines on the worst served account.
+constexpr base::duration share_line_interval = std::chrono::seconds(1);
 /// Time to pass the answer on to the caller.
 constexpr base::duration delivery_time = std::chrono::milliseconds(8);
 /// A retry is not started with this time or less left until the deadline.
@@ -172,6 +174,7 @@
         (placement_.unreported_tokens() > early_report_tokens && now >= last_report_ + min_report_interval)) {
         last_report_ = now;
         fair_share_.update(now);
+        log_worst_served_account();
         placement_.update(now);
         update_retry_budget();
         const base::vm_id previous_delegate = delegation_.needed() ? delegation_.delegate() : base::vm_id();
@@ -311,6 +314,25 @@
     }
 }
 
+/// While the engines are overloaded, logs how far the service of the accounts is from fair. In a fleet with
+/// delegates these alone do, since all routers know the same sums.
+void dispatcher::log_worst_served_account() {
+    if (!fair_share_.overloaded() || now_ < next_share_line_ ||
+        (delegation_.needed() && !delegation_.is_delegate())) {
+        return;
+    }
+    next_share_line_ = now_ + share_line_interval;
+    if (const std::optional<worst_served_account> worst = fair_share_.worst_served(now_)) {
+        base::log_event(log_level::info, "dispatcher", "worst_served_account",
+                        {{"account", worst->account.value()},
+                         {"share", worst->share},
+                         {"served_tokens", worst->served.value()},
+                         {"requested_tokens", worst->requested.value()},
+                         {"greatest_service_tokens", worst->greatest_service.value()},
+                         {"pressure", fair_share_.pressure()}});
+    }
+}
+
 /// Estimates how long the caller has been trying: a caller that retries has less time left than callers
 /// usually have at a first attempt on the same route.
 base::duration dispatcher::estimate_earlier_attempts(const route& matched,
@@ -897,6 +919,8 @@
     view.values.push_back(make_value("members", static_cast<double>(members_.live().size())));
     view.values.push_back(make_value("upstreams", static_cast<double>(roster_.entries().size())));
     view.values.push_back(make_value("pressure", fair_share_.pressure()));
+    const std::optional<worst_served_account> worst = fair_share_.worst_served(now);
+    view.values.push_back(make_value("worst_share", worst ? worst->share : 1));
     decision::state_section upstreams{"upstreams", {}};
     for (const auto& [id, state] : placement_.states()) {
         upstreams.values.push_back(
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -153,6 +153,7 @@
     void apply_roster();
     void confirm_crash(const base::upstream_id& upstream);
     void spread_crash_report(const decision::crash_report& crash);
+    void log_worst_served_account();
     void send_report();
     void send_aggregated_reports();
     void send_to(const base::vm_id& to, decision::message body);
@@ -192,6 +193,7 @@
     /// Until when this router watches the store itself although it has a delegate.
     base::time_point own_watch_until_;
     base::time_point next_aggregated_report_;
+    base::time_point next_share_line_;
     roster roster_;
     placement placement_;
     fair_share fair_share_;
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -163,7 +163,7 @@
     }
     pressure_ = served > 0 ? requested_sum / served : 1;
     fair_level_ = std::numeric_limits<double>::infinity();
-    if (pressure_ < overload_pressure) {
+    if (!overloaded()) {
         return;
     }
     std::sort(requested.begin(), requested.end());
@@ -178,6 +178,31 @@
     }
 }
 
+bool fair_share::overloaded() const {
+    return pressure_ >= overload_pressure;
+}
+
+std::optional<worst_served_account> fair_share::worst_served(base::time_point now) const {
+    double greatest = 0;
+    for (const auto& [account, account_rate] : fleet_) {
+        greatest = std::max(greatest, account_rate.served);
+    }
+    const double factor = weight(now);
+    std::optional<worst_served_account> worst;
+    for (const auto& [account, account_rate] : fleet_) {
+        const double reference = std::min(account_rate.requested, greatest);
+        if (reference < negligible_tokens * factor) {
+            continue;
+        }
+        const double share = account_rate.served / reference;
+        if (!worst || share < worst->share) {
+            worst = {account, base::cost(account_rate.served / factor),
+                     base::cost(account_rate.requested / factor), base::cost(greatest / factor), share};
+        }
+    }
+    return worst;
+}
+
 double fair_share::relative_service(const base::client_account_id& account) const {
     const auto found = fleet_.find(account);
     if (found == fleet_.end() || std::isinf(fair_level_) || fair_level_ <= 0) {
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -12,6 +12,17 @@
 
 namespace bluebell::dispatch {
 
+/// The account that is served worst, measured by its share: what it was served over the lesser of what it
+/// requested and what the best served account got. Costs are decayed sums over the fleet.
+struct worst_served_account {
+    base::client_account_id account;
+    base::cost served;
+    base::cost requested;
+    /// Service of the account that was served most.
+    base::cost greatest_service;
+    double share = 1;
+};
+
 /// Max-min fair shares of the engines' throughput among client accounts over the whole fleet.
 ///
 /// Every router counts the cost that each account requested and was served, with exponential decay, and
@@ -49,6 +60,10 @@
     [[nodiscard]] double relative_service(const base::client_account_id& account) const;
     /// Requested cost divided by served cost; above one the engines are overloaded.
     [[nodiscard]] double pressure() const { return pressure_; }
+    /// Returns true if the capacity does not suffice for what all accounts request.
+    [[nodiscard]] bool overloaded() const;
+    /// Returns the account with the least share, for logs; empty if there is no account.
+    [[nodiscard]] std::optional<worst_served_account> worst_served(base::time_point now) const;
 
 private:
     /// Costs, multiplied by `weight` of the time at which they were counted. Sums decay this way without any
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -172,6 +172,12 @@
                    std::optional<base::duration> retry_after) {
     std::vector<http::field> fields = dialect_.refusal_fields(request_id, retry_after);
     metrics_.add({"bluebell_requests_total", {{"outcome", std::string(base::to_string(cause))}}});
+    base::log_event(base::log_level::info, name(), "refused",
+                    {{"request", request_id},
+                     {"status", status},
+                     {"cause", base::to_string(cause)},
+                     {"lag_ms", std::chrono::duration<double, std::milli>(saturation_.lag()).count()},
+                     {"body_bytes", body_bytes_}});
     connection.answer(status, fields, base::to_string(cause));
 }
 
--- a/src/relay/saturation.h
+++ b/src/relay/saturation.h
@@ -25,6 +25,8 @@
     void update(bool behind, base::time_point now);
     /// Returns true if a new request is to be refused. `cheap` is true for requests that cost little.
     [[nodiscard]] bool refuses(bool cheap) const { return lag_ > (cheap ? max_lag_cheap : max_lag); }
+    /// Lag at the last wait.
+    [[nodiscard]] base::duration lag() const { return lag_; }
     /// Returns true while new connections should go to other routers.
     [[nodiscard]] bool overloaded(base::time_point now) const { return now < overloaded_until_; }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -248,6 +248,24 @@
     CHECK(share.relative_service(other) == Approx(0.4));
 }
 
+TEST_CASE("the worst served account is found by its share, not by the amount that it was served") {
+    const base::time_point now(std::chrono::hours(1));
+    fair_share share;
+    const auto serve = [&](const char* account, double requested, double served) {
+        share.record_request(base::client_account_id(account), base::cost(requested), now);
+        share.record_service(base::client_account_id(account), base::cost(served), now);
+    };
+    CHECK_FALSE(share.worst_served(now));
+    serve("small", 100, 90);
+    serve("flooding", 9000, 1000);
+    serve("starved", 2000, 300);
+    const std::optional<worst_served_account> worst = share.worst_served(now);
+    REQUIRE(worst);
+    CHECK(worst->account == base::client_account_id("starved"));
+    CHECK(worst->share == Approx(0.3));
+    CHECK(worst->greatest_service.value() == Approx(1000));
+}
+
 TEST_CASE("no account is ahead of its share while capacity suffices") {
     const base::time_point now(std::chrono::hours(1));
     fair_share share;
