Attribute crashes of upstreams to parts of prompts

Cause, of the class "identity too narrow": a crash was counted against the hash of the whole request (account, path, body). Requests that share only the harmful part have different hashes, so that none ever reached the limit. The reports were also tied to the removal of the upstream's entry within 2 s, which comes later than that, and went to three random peers once, so that a part of the fleet missed each of them.

Ruled out: counting parts by themselves. Shared parts of sound requests wait at almost every upstream that crashes, and would be blocked first.

Change: dispatch/attribution keeps the last crashes with the requests that waited there for an answer. An answer that begins after the crash and lasts 200 ms clears the parts of its request. Of the other parts, the one that explains most crashes is blocked, and its crashes stop counting against what waited beside it. Requests that are repeated are blocked by themselves after three crashes, as before. Crashes are recognised by several connections that break at once, by a refused connection, by the entry, or by a peer's report. Routers repeat their news to random peers for a second and pass blocks on at once. Requests at an upstream whose part is blocked are cancelled.

--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -199,6 +199,47 @@
     base::upstream_id upstream;
 };
 
+/// What identifies a request that may have crashed an upstream.
+struct crash_suspect {
+    /// Equal for repetitions of the same request.
+    base::fingerprint request;
+    /// Parts of the prompt that other requests may share, in the order of the prompt.
+    std::vector<base::fingerprint> shared_parts;
+};
+
+/// Crash of an upstream with the requests that waited there for an answer.
+struct upstream_crash {
+    base::upstream_id upstream;
+    /// Time since the crash.
+    base::duration age{};
+    std::vector<crash_suspect> suspects;
+};
+
+/// A suspected request or part of a prompt that an upstream has answered.
+struct cleared_feature {
+    base::fingerprint feature;
+    /// Time since the answer.
+    base::duration age{};
+};
+
+/// Kinds of features of a request.
+enum class feature_kind { request, prompt_part };
+
+/// A request or part of a prompt that must not run, since upstreams crash under it.
+struct blocked_feature {
+    base::fingerprint feature;
+    feature_kind kind = feature_kind::request;
+    /// Time since the last crash that counted against it.
+    base::duration age{};
+};
+
+/// What the sender knows of crashes and of requests that cause them.
+struct crash_news {
+    std::vector<upstream_crash> crashes;
+    std::vector<cleared_feature> cleared;
+    std::vector<blocked_feature> blocked;
+};
+
 /// Work that the sender has placed on one upstream.
 struct upstream_work {
     base::upstream_id upstream;
@@ -237,7 +278,7 @@
 };
 
 using message = std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim,
-                             claim_result, settle, settle_ack, crash_report, work_report>;
+                             claim_result, settle, settle_ack, crash_report, work_report, crash_news>;
 
 /// Virtual time of a pool.
 struct pool_time {
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -276,6 +276,7 @@
 /// Ignores work reports. They are exchanged by routers that place work without permits; this router shares
 /// capacity by permits.
 void router::receive(const message_header& /*header*/, const work_report& /*body*/) {}
+void router::receive(const message_header& /*header*/, const crash_news& /*body*/) {}
 
 /// Forwards a crash report to a few random peers. Each router forwards a report once, so that it spreads to
 /// all routers.
--- a/src/decision/router.h
+++ b/src/decision/router.h
@@ -111,6 +111,7 @@
     void receive(const message_header& header, const settle_ack& body);
     void receive(const message_header& header, const crash_report& body);
     void receive(const message_header& header, const work_report& body);
+    void receive(const message_header& header, const crash_news& body);
 
     /// Returns the reason why new requests are refused, or nothing if they are accepted.
     [[nodiscard]] std::optional<base::error> refusal_reason() const;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -60,8 +60,8 @@
 constexpr double caller_timeout_spread = 0.16;
 /// Distinct caller timeouts that are counted for a route.
 constexpr std::size_t max_caller_timeouts = 64;
-/// How long a broken connection is kept as a sign of a crash that may still be confirmed.
-constexpr base::duration crash_suspicion_time = std::chrono::seconds(2);
+/// A connection that fails within this time after another one broke shows that the upstream crashed.
+constexpr base::duration refused_connection_time = std::chrono::seconds(2);
 /// Pause of an upstream that refuses work because it is full.
 constexpr base::duration full_pause = std::chrono::milliseconds(30);
 /// Pause of an upstream whose address another upstream has; its entry is corrected in the meantime.
@@ -92,8 +92,6 @@
 /// retries at once meets the same queue.
 constexpr double retry_delay_share = 0.2;
 constexpr double retry_delay_spread = 0.25;
-/// Distinct upstreams that a request must have crashed before it is blocked.
-constexpr std::size_t min_crashed_upstreams = 3;
 
 double to_ms(base::duration value) {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -140,8 +138,7 @@
     : settings_(settings), bounds_(settings.bounds), now_(now), members_(settings.member, now),
       delegation_(settings.member.self, settings.data_centre, settings.cpu_cores),
       placement_(settings.data_centre, settings.seed),
-      retry_budget_({settings.bounds.retry_ratio * retry_budget_share, 0}),
-      crashes_({min_crashed_upstreams, std::chrono::minutes(10), 4096}), next_report_(now),
+      retry_budget_({settings.bounds.retry_ratio * retry_budget_share, 0}), next_report_(now),
       next_queue_pass_(now), random_(settings.seed) {
     update_retry_budget();
 }
@@ -149,13 +146,15 @@
 void dispatcher::handle(const event& input, base::time_point now) {
     now_ = now;
     std::visit([this](const auto& alternative) { on(alternative); }, input);
+    if (std::exchange(crash_recorded_, false)) {
+        update_blocks();
+    }
 }
 
 void dispatcher::tick(base::time_point now) {
     now_ = now;
     if (now >= members_.next_due()) {
         members_.tick(now);
-        crashes_.tick(now);
         if (roster_.expire(now)) {
             apply_roster();
         }
@@ -189,6 +188,9 @@
             }
         }
         update_follow_orders();
+        record_survived_answers();
+        update_blocks();
+        send_crash_news();
         send_report();
         next_report_ = now + bounds_.report_interval;
     }
@@ -301,7 +303,7 @@
     if (drain_started_ && now_ - *drain_started_ > settings_.drain_accept_time) {
         return end_session(created, 503, error_code::draining, std::chrono::milliseconds(100));
     }
-    if (crashes_.is_blocked(created.fingerprint, now_)) {
+    if (blocked(created)) {
         return end_session(created, 502, error_code::poison_request);
     }
     if (created.needs_engine && created.earlier_attempts_time == base::duration::zero()) {
@@ -561,7 +563,7 @@
         if (attempt.status < 500) {
             placement_.record_success(request.target);
         }
-        crashes_.on_completed(request.fingerprint, now_);
+        record_answered(request);
         base::log_event(log_level::info, "dispatcher", "delivered",
                         {{"request", request.caller_request_id},
                          {"status", attempt.status},
@@ -578,7 +580,7 @@
         return remove_session(attempt.id);
     case attempt_outcome::held:
         request.may_have_run = true;
-        crashes_.on_completed(request.fingerprint, now_);
+        record_answered(request);
         if (!retry(request, attempt)) {
             output_.relay.emplace_back(release_answer{attempt.id});
             remove_session(attempt.id);
@@ -593,12 +595,12 @@
     case attempt_outcome::unsent:
         --request.upstreams_used;
         placement_.record_connect_failure(request.target, now_);
-        confirm_crash(request.target);
+        confirm_crash(request.target, now_ - refused_connection_time, now_);
         break;
     case attempt_outcome::lost:
     case attempt_outcome::cut:
         request.may_have_run = true;
-        suspects_.push_back({request.target, request.fingerprint, now_});
+        record_broken_connection(request);
         placement_.record_failure(request.target);
         break;
     case attempt_outcome::garbled:
@@ -633,7 +635,7 @@
                                    ? request.route->kind == route_kind::streaming && request.route->resumable
                                    : request.route->repeatable();
     if ((!not_run && !may_run_again) || request.upstreams_used >= request.route->max_attempts ||
-        now_ + min_retry_time >= request.deadline || crashes_.is_blocked(request.fingerprint, now_)) {
+        now_ + min_retry_time >= request.deadline || blocked(request)) {
         return false;
     }
     placement_request placement_needs;
@@ -713,7 +715,7 @@
     for (const auto& [id, current] : roster_.entries()) {
         const auto listed = listed_starts.find(id);
         if (listed == listed_starts.end() || listed->second != current.started_ms) {
-            confirm_crash(id);
+            confirm_crash(id, base::time_point::min(), now_);
         }
     }
     roster_.replace(reading.entries, reading.after_outage, now_);
@@ -732,7 +734,7 @@
     for (const upstream_change& change : reading.changes) {
         const upstream_entry* const current = roster_.find(change.id);
         if (current != nullptr && (!change.entry || change.entry->started_ms != current->started_ms)) {
-            confirm_crash(change.id);
+            confirm_crash(change.id, base::time_point::min(), now_);
         }
     }
     roster_.apply(reading.changes, now_);
@@ -774,36 +776,11 @@
     if (!admitted) {
         return;
     }
-    const base::vm_id& from = received.payload.header.sender;
     if (std::holds_alternative<decision::work_report>(received.payload.body)) {
         receive_report(received.payload);
-    } else if (const decision::crash_report* const crash =
-                   std::get_if<decision::crash_report>(&received.payload.body)) {
-        if (crashes_.add_report(*crash, now_)) {
-            spread_crash_report(*crash);
-        }
-    }
-}
-
-/// Reports every request that was running at the upstream when its connections broke: each may have crashed
-/// it.
-void dispatcher::confirm_crash(const base::upstream_id& upstream) {
-    while (!suspects_.empty() && now_ - suspects_.front().failed_at > crash_suspicion_time) {
-        suspects_.pop_front();
-    }
-    for (const suspect& candidate : suspects_) {
-        const decision::crash_report crash{candidate.fingerprint, candidate.upstream};
-        if (candidate.upstream == upstream && crashes_.add_report(crash, now_)) {
-            spread_crash_report(crash);
-        }
-    }
-}
-
-void dispatcher::spread_crash_report(const decision::crash_report& crash) {
-    for (const base::vm_id& peer : members_.random_peers(3)) {
-        if (const std::optional<decision::endpoint> to = members_.control_address(peer)) {
-            output_.datagrams.push_back({*to, {make_header(), crash}});
-        }
+    } else if (const decision::crash_news* const news =
+                   std::get_if<decision::crash_news>(&received.payload.body)) {
+        receive_crash_news(*news);
     }
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "decision/command.h"
 #include "decision/member.h"
 #include "decision/retry.h"
+#include "dispatch/attribution.h"
 #include "dispatch/delegation.h"
 #include "dispatch/event.h"
 #include "dispatch/placement.h"
@@ -108,12 +109,13 @@
         /// When the answer of the current attempt began.
         base::time_point answering_since;
     };
-    /// A request that was running when its connection broke, kept until it is clear whether the upstream
+    /// A connection to an upstream that broke under a request, kept until it is clear whether the upstream
     /// crashed.
-    struct suspect {
+    struct broken_connection {
         base::upstream_id upstream;
-        base::fingerprint fingerprint;
-        base::time_point failed_at;
+        /// Empty if the request is not suspected, because its answer had begun.
+        std::vector<decision::crash_suspect> suspects;
+        base::time_point broken_at;
     };
 
     void on(const dispatcher_bounds& bounds);
@@ -151,8 +153,16 @@
     void remove_session(session_id id);
     void release_placed_work(session& request);
     void apply_roster();
-    void confirm_crash(const base::upstream_id& upstream);
-    void spread_crash_report(const decision::crash_report& crash);
+    [[nodiscard]] static decision::crash_suspect suspect(const session& request);
+    [[nodiscard]] bool blocked(const session& request) const;
+    void record_answered(const session& request);
+    void record_broken_connection(const session& request);
+    void record_survived_answers();
+    void confirm_crash(const base::upstream_id& upstream, base::time_point earliest, base::time_point latest);
+    void update_blocks();
+    void end_blocked_requests();
+    void receive_crash_news(const decision::crash_news& news);
+    void send_crash_news();
     void log_worst_served_account();
     void send_report();
     void send_aggregated_reports();
@@ -198,14 +208,17 @@
     placement placement_;
     fair_share fair_share_;
     decision::retry_budget retry_budget_;
-    decision::crash_table crashes_;
+    crash_attribution crashes_;
+    /// A crash was recorded since the blocks were updated.
+    bool crash_recorded_ = false;
+    base::time_point next_crash_news_;
     std::unordered_map<session_id, session> sessions_;
     std::set<std::pair<base::time_point, session_id>> deadlines_;
     std::map<base::pool_id, std::vector<session_id>> queues_;
     /// How often each caller timeout, in ns, was seen on a route. The most frequent one belongs to first
     /// attempts.
     std::map<route_id, std::map<std::int64_t, std::uint32_t>> caller_timeout_counts_;
-    std::deque<suspect> suspects_;
+    std::deque<broken_connection> broken_connections_;
     std::set<base::vm_id> known_routers_;
     std::optional<base::time_point> drain_started_;
     base::time_point next_report_;
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -656,7 +656,7 @@
     read(in, body.upstreams_position);
 }
 
-// Header.
+// Ages.
 
 using milliseconds = std::chrono::milliseconds;
 
@@ -675,6 +675,64 @@
                                          : base::duration(milliseconds(packed - 1));
 }
 
+void write_age(output_archive& out, base::duration age) {
+    write(out, encode_age(age));
+}
+
+/// Reads an age that must be known.
+void read_age(input_archive& in, base::duration& age) {
+    std::uint64_t packed = 0;
+    read(in, packed);
+    age = decode_age(packed);
+    if (age == decision::never_confirmed) {
+        fail_malformed("age is missing or too large");
+    }
+}
+
+void write(output_archive& out, const decision::crash_news& body) {
+    write_list(out, body.crashes, [&out](const decision::upstream_crash& crash) {
+        write(out, crash.upstream);
+        write_age(out, crash.age);
+        write_list(out, crash.suspects, [&out](const decision::crash_suspect& suspect) {
+            write(out, suspect.request);
+            write_list(out, suspect.shared_parts,
+                       [&out](const base::fingerprint& part) { write(out, part); });
+        });
+    });
+    write_list(out, body.cleared, [&out](const decision::cleared_feature& cleared) {
+        write(out, cleared.feature);
+        write_age(out, cleared.age);
+    });
+    write_list(out, body.blocked, [&out](const decision::blocked_feature& blocked) {
+        write(out, blocked.feature);
+        write_enum(out, blocked.kind);
+        write_age(out, blocked.age);
+    });
+}
+
+void read(input_archive& in, decision::crash_news& body) {
+    read_list(in, body.crashes, max_list_entries, [&in](decision::upstream_crash& crash) {
+        read(in, crash.upstream);
+        read_age(in, crash.age);
+        read_list(in, crash.suspects, max_list_entries, [&in](decision::crash_suspect& suspect) {
+            read(in, suspect.request);
+            read_list(in, suspect.shared_parts, max_list_entries,
+                      [&in](base::fingerprint& part) { read(in, part); });
+        });
+    });
+    read_list(in, body.cleared, max_list_entries, [&in](decision::cleared_feature& cleared) {
+        read(in, cleared.feature);
+        read_age(in, cleared.age);
+    });
+    read_list(in, body.blocked, max_list_entries, [&in](decision::blocked_feature& blocked) {
+        read(in, blocked.feature);
+        read_enum(in, blocked.kind, decision::feature_kind::prompt_part);
+        read_age(in, blocked.age);
+    });
+}
+
+// Header.
+
 void write(output_archive& out, const decision::message_header& header) {
     write(out, header.sender);
     write(out, header.incarnation);
@@ -791,6 +849,13 @@
         rest_ = std::move(rest);
         return divided;
     }
+    bool operator()(decision::crash_news& body) const {
+        decision::crash_news rest{split_half(body.crashes), split_half(body.cleared),
+                                  split_half(body.blocked)};
+        const bool divided = !rest.crashes.empty() || !rest.cleared.empty() || !rest.blocked.empty();
+        rest_ = std::move(rest);
+        return divided;
+    }
     template <typename Other>
     bool operator()(Other& /*body*/) const {
         return false;
@@ -814,8 +879,9 @@
 
 std::string_view message_kind_name(std::size_t kind) {
     constexpr std::array<std::string_view, message_kind_count> names{
-        "ping",        "ack",   "ping_request", "bid",    "grant",      "release",      "usage",
-        "usage_total", "claim", "claim_result", "settle", "settle_ack", "crash_report", "work_report"};
+        "ping",    "ack",        "ping_request", "bid",         "grant",
+        "release", "usage",      "usage_total",  "claim",       "claim_result",
+        "settle",  "settle_ack", "crash_report", "work_report", "crash_news"};
     return names.at(kind);
 }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -56,6 +56,10 @@
     bid.waiting = 70'000;
     bid.held = {{base::grant_id(1), upstream}, {base::grant_id(~0ULL), base::upstream_id("worker-13")}};
     bid.sequence = 9;
+    const decision::crash_news news{
+        {{upstream, std::chrono::milliseconds(12), {{base::fingerprint(~0ULL), {base::fingerprint(4)}}}}},
+        {{base::fingerprint(1), std::chrono::milliseconds(0)}},
+        {{base::fingerprint(2), decision::feature_kind::prompt_part, std::chrono::hours(1)}}};
     return {decision::ping{77, 1, true, {false, {0x0f, 0x80}}, {update(1), update(2)}},
             decision::ack{77, 2, {true, {}}, {update(3)}},
             decision::ping_request{77, base::vm_id("vm-3")},
@@ -75,7 +79,8 @@
                                   {{account, base::cost(7), base::cost(9)}},
                                   true,
                                   41,
-                                  90210}};
+                                  90210},
+            news};
 }
 
 /// Visitor that checks that the enumerators of a message are in range.
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -588,6 +588,121 @@
     CHECK(router.ended(again.id)->cause == base::error_code::poison_request);
 }
 
+namespace {
+
+/// Sends requests whose prompts consist of `opening`, `part` and a part of their own, and plays upstreams
+/// that crash under one of the parts.
+class crash_fixture {
+public:
+    explicit crash_fixture(std::size_t upstreams) : router_(entries(upstreams)) {}
+
+    static std::vector<upstream_entry> entries(std::size_t count) {
+        std::vector<upstream_entry> result;
+        for (std::size_t i = 0; i < count; ++i) {
+            result.push_back(make_upstream("m" + std::to_string(i), model_pool, 100));
+        }
+        return result;
+    }
+    session_id request(std::uint64_t opening, std::uint64_t part) {
+        request_read read;
+        read.id = session_id(++last_id_);
+        read.host = "h.example";
+        read.path = "/text/1";
+        read.key = "key-a";
+        read.caller_timeout = seconds(10);
+        read.prompt.prompt_tokens = token_count(300);
+        read.prompt.max_output_tokens = token_count(100);
+        read.prompt.parts = {{part_id(opening), token_count(100)},
+                             {part_id(part), token_count(100)},
+                             {part_id(1000 + last_id_), token_count(100)}};
+        read.fingerprint = base::fingerprint(last_id_);
+        read.arrived = router_.now();
+        router_.handle(read);
+        return read.id;
+    }
+    /// Sends the request and answers it, or crashes the upstream that runs it. Returns true if it ran.
+    bool play(std::uint64_t opening, std::uint64_t part, bool harmful) {
+        const session_id id = request(opening, part);
+        const send_request* const order = router_.sent(id);
+        if (order == nullptr) {
+            return false;
+        }
+        if (harmful) {
+            crash(id);
+        } else {
+            router_.handle(answer_started{id, order->attempt});
+            router_.finish(id, attempt_outcome::delivered);
+        }
+        return true;
+    }
+    /// Crashes the upstream that runs the request.
+    void crash(session_id id) {
+        crashed_.emplace_back(router_.now(), router_.sent(id)->target);
+        router_.finish(id, attempt_outcome::lost, 0);
+        router_.handle(roster_changed{{{crashed_.back().second.id, std::nullopt}}, 1, std::nullopt});
+    }
+    /// Lets time pass. Upstreams are back three seconds after their crash.
+    void advance(milliseconds time) {
+        router_.advance(time);
+        router_.handle(catalogue_read{nullptr, router_.now()});
+        while (!crashed_.empty() && router_.now() - crashed_.front().first >= seconds(3)) {
+            upstream_entry& restarted = crashed_.front().second;
+            ++restarted.started_ms;
+            router_.handle(roster_changed{{{restarted.id, restarted}}, 1, std::nullopt});
+            crashed_.pop_front();
+        }
+    }
+    dispatcher_fixture& router() { return router_; }
+
+private:
+    dispatcher_fixture router_;
+    std::deque<std::pair<base::time_point, upstream_entry>> crashed_;
+    std::uint64_t last_id_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("requests that share a harmful part of the prompt crash at most five upstreams") {
+    crash_fixture fleet(12);
+    const bool harmful_opening = GENERATE(false, true);
+    int crashes = 0;
+    for (std::uint64_t i = 0; i < 30; ++i) {
+        // Sound requests share the caller and the other shared part.
+        REQUIRE(fleet.play(1, 100 + i, false));
+        crashes += fleet.play(harmful_opening ? 666 : 1, harmful_opening ? 100 + i : 666, true) ? 1 : 0;
+        fleet.advance(milliseconds(300));
+    }
+    CHECK(crashes <= 5);
+    CHECK(fleet.play(1, 200, false));
+}
+
+TEST_CASE("a request that waits at an upstream when its part is blocked is cancelled") {
+    crash_fixture fleet(12);
+    const session_id waiting = fleet.request(1, 666);
+    REQUIRE(fleet.router().sent(waiting) != nullptr);
+    for (int i = 0; i < 5; ++i) {
+        fleet.play(1, 666, true);
+        fleet.advance(milliseconds(300));
+    }
+    REQUIRE(fleet.router().ended(waiting) != nullptr);
+    CHECK(fleet.router().ended(waiting)->cause == base::error_code::poison_request);
+}
+
+TEST_CASE("upstreams that fail together block no part, however many requests waited there") {
+    crash_fixture fleet(12);
+    std::vector<session_id> waiting;
+    for (int i = 0; i < 24; ++i) {
+        waiting.push_back(fleet.request(1, 50));
+    }
+    for (const session_id id : waiting) {
+        if (fleet.router().sent(id) != nullptr) {
+            fleet.crash(id);
+        }
+    }
+    fleet.advance(milliseconds(4000));
+    CHECK(fleet.play(1, 50, false));
+}
+
 TEST_CASE("lost answers without a crash do not block a request") {
     dispatcher_fixture router;
     for (std::uint64_t i = 0; i < 5; ++i) {
