Cut a stream that ends inside an event

Callers saw a stream that its upstream broke off inside an event end with a final chunk, as if it were complete. This is so for streams of routes that cannot be resumed.

Cause: an answer without length or chunks ends with its connection, and only resumable streams were split into events. For the others every orderly close counted as the end.

Change: all streams of events are split; those that cannot be resumed are still forwarded byte by byte. A stream that ends inside an event is reported as cut, and its caller's connection is closed without the final chunk, with any framing. Line ends alone are no event. Answers of another content type on such a route are left alone.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,6 +20,7 @@
 constexpr base::duration overload_retry_delay = std::chrono::milliseconds(20);
 /// Minimum time between two passes that destroy closed connections.
 constexpr base::duration removal_interval = std::chrono::milliseconds(20);
+constexpr std::string_view event_stream_type = "text/event-stream";
 constexpr int success_status_class = 2;
 constexpr int first_server_error_status = 500;
 
@@ -377,12 +378,9 @@
     link* const upstream_link = session.upstream_link;
     caller* const recipient = session.caller_connection;
     const dispatch::session_id id = session.id;
-    if (session.command.resumable) {
-        const std::string whole = session.splitter.feed(bytes);
-        recipient->append_body(whole);
-    } else {
-        recipient->append_body(bytes);
-    }
+    const bool split = session.command.resumable || carries_events(session);
+    const std::string whole = split ? session.splitter.feed(bytes) : std::string();
+    recipient->append_body(session.command.resumable ? std::string_view(whole) : bytes);
     // Writing to the caller can fail, which removes the exchange.
     if (find(id) != nullptr && upstream_link != nullptr &&
         recipient->unsent_bytes() > caller::high_water_mark) {
@@ -406,7 +404,9 @@
         return report_attempt_finished(*session, attempt_outcome::refused);
     }
     if (!session->buffering) {
-        if (session->command.resumable && session->splitter.has_partial_event()) {
+        // An answer without a length ends with its connection, so that only its last event shows whether it
+        // is complete.
+        if (session->splitter.has_partial_event()) {
             return report_attempt_finished(*session, attempt_outcome::cut);
         }
         // Ends the answer last, since the next request of the caller may be handled within that call.
@@ -427,6 +427,12 @@
     deliver_buffered(*session);
 }
 
+bool relay::carries_events(const exchange& session) {
+    const std::string* const type = session.answer_head.find("Content-Type");
+    return session.command.streaming &&
+           (type == nullptr || type->compare(0, event_stream_type.size(), event_stream_type) == 0);
+}
+
 void relay::deliver_buffered(exchange& session) {
     caller* const recipient = session.caller_connection;
     const int status = session.answer_head.status;
--- a/src/relay/splitter.h
+++ b/src/relay/splitter.h
@@ -22,8 +22,10 @@
     [[nodiscard]] const std::string& last_id() const { return last_id_; }
     /// Returns the number of complete events.
     [[nodiscard]] std::uint32_t event_count() const { return event_count_; }
-    /// Returns true if bytes of an incomplete event are buffered.
-    [[nodiscard]] bool has_partial_event() const { return !pending_.empty(); }
+    /// Returns true if bytes of an incomplete event are buffered. Blank lines belong to no event.
+    [[nodiscard]] bool has_partial_event() const {
+        return pending_.find_first_not_of("\r\n") != std::string::npos;
+    }
 
 private:
     void record_event(std::string_view event);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -367,6 +367,30 @@
     CHECK_FALSE(contains(rest, "0\r\n\r\n"));
 }
 
+TEST_CASE("a stream that ends inside an event is cut, with and without chunks") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/text/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    const bool chunked = GENERATE(true, false);
+    const bool whole = GENERATE(true, false);
+    const std::string events = whole ? "id: 1\ndata: a\n\n" : "id: 1\ndata: a\n\nid: 2\ndata: b";
+    if (chunked) {
+        upstream.send(stream_head("t1") + chunk(events) + "0\r\n\r\n");
+    } else {
+        upstream.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n"
+                      "Content-Type: text/event-stream\r\n\r\n" +
+                      events);
+        upstream.close();
+    }
+    const std::string answer =
+        caller.read_until([](const std::string& text) { return contains(text, "\r\n0\r\n\r\n"); });
+    CHECK(contains(answer, "data: a\n\n"));
+    CHECK(contains(answer, "\r\n0\r\n\r\n") == whole);
+    CHECK(caller.ended() != whole);
+}
+
 TEST_CASE("a resumable stream continues at another upstream after its last complete event") {
     router_fixture router;
     wire caller = router.connect_caller();
