Close upstream connections that send bytes without end

Callers would have seen a router run out of memory: an upstream that sends a body without end which cannot be passed on (without the mark of an upstream, or with a status that states no run), or an event without end on a resumable stream, filled the memory until the deadline of the request. Answers to other requests, interim answers and the parameters of a chunk were read without end as well, which costs the processor time of all callers of the router.

Cause: the size of heads was limited, that of what is buffered or dropped was not.

Change: a link allows 256 KiB besides the body of the answer (or 16 bytes of framing for each byte of it); an answer that cannot be passed on may have 256 KiB, an event 1 MiB. Beyond that the connection is closed and the attempt counts as garbled, or as cut.

Heads were limited before.

--- a/src/relay/link.cpp
+++ b/src/relay/link.cpp
@@ -16,6 +16,10 @@
 /// unknown.
 constexpr double repeatable_idle_share = 0.6;
 constexpr double unrepeatable_idle_share = 0.4;
+/// Limit on bytes besides the body of the answer: heads, framing, and answers to other requests. A long body
+/// in small chunks may have more, up to this many for each of its bytes.
+constexpr std::size_t max_other_bytes = std::size_t{256} << 10U;
+constexpr std::size_t max_framing_per_byte = 16;
 
 } // namespace
 
@@ -59,6 +63,8 @@
     skipping_answer_ = false;
     reading_paused_ = false;
     parsed_body_.clear();
+    passed_bytes_ = 0;
+    other_bytes_ = 0;
     parser_.prepare_next(expect_body);
     if (!connecting_) {
         loop_.timers.disarm(*this);
@@ -176,6 +182,9 @@
             return fail(link_failure::malformed_answer);
         }
         bytes.remove_prefix(*consumed);
+        if (!count_received(*consumed, skipping_answer_ ? 0 : parsed_body_.size())) {
+            return fail(link_failure::malformed_answer);
+        }
         if (parser_.head_complete() && parser_.head().status / 100 == 1) {
             if (parser_.complete()) {
                 parser_.prepare_next(true);
@@ -216,6 +225,12 @@
     }
 }
 
+bool link::count_received(std::size_t bytes, std::size_t body_bytes) {
+    passed_bytes_ += body_bytes;
+    other_bytes_ += bytes - body_bytes;
+    return other_bytes_ <= std::max(max_other_bytes, passed_bytes_ * max_framing_per_byte);
+}
+
 /// Calls the listener last, since it may start the next request at once.
 void link::finish_answer() {
     link_listener* const listener = std::exchange(listener_, nullptr);
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -100,6 +100,9 @@
     void fail(link_failure failure);
     void update_epoll_interest();
     void become_idle();
+    /// Counts received bytes, of which `body_bytes` are passed on. Returns false if there is no end to bytes
+    /// that belong to no answer to this request.
+    bool count_received(std::size_t bytes, std::size_t body_bytes);
 
     const base::upstream_id upstream_;
     const decision::endpoint address_;
@@ -111,6 +114,9 @@
     http::response_parser parser_;
     std::string send_buffer_;
     std::string parsed_body_;
+    /// Bytes of the current answer that were passed on, and other bytes received since the request was sent.
+    std::size_t passed_bytes_ = 0;
+    std::size_t other_bytes_ = 0;
     /// Number of bytes at the front of `send_buffer_` that are sent.
     std::size_t sent_bytes_ = 0;
     std::uint32_t epoll_interest_ = 0;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -15,6 +15,8 @@
 /// Answers that are not streams are buffered up to this size, so that a broken one can be replaced by that of
 /// another attempt.
 constexpr std::size_t max_buffered_answer = std::size_t{256} << 10U;
+/// Longest event of a stream.
+constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
 /// Minimum retry delay stated to callers whose requests are refused because the router is overloaded. Up to
 /// the same time is added at random.
 constexpr base::duration overload_retry_delay = std::chrono::milliseconds(20);
@@ -353,18 +355,28 @@
         return forward_body(*session, bytes);
     }
     session->buffered.append(bytes);
+    if (session->buffered.size() <= max_buffered_answer) {
+        return;
+    }
     const bool passable = session->answer.from_upstream && !session->answer.not_run &&
                           !session->answer.misdirected && !session->answer.unconfirmed_not_run &&
                           !session->head_sent;
-    if (session->buffered.size() > max_buffered_answer && passable) {
-        session->buffering = false;
-        session->head_sent = true;
-        session->caller_connection->begin_answer(session->answer_head.status,
-                                                 dialect_.answer_fields(session->answer_head),
-                                                 session->answer_head.length);
-        const std::string buffered = std::exchange(session->buffered, {});
-        forward_body(*session, buffered);
+    if (!passable) {
+        return abandon_attempt(*session);
     }
+    session->buffering = false;
+    session->head_sent = true;
+    session->caller_connection->begin_answer(session->answer_head.status,
+                                             dialect_.answer_fields(session->answer_head),
+                                             session->answer_head.length);
+    const std::string buffered = std::exchange(session->buffered, {});
+    forward_body(*session, buffered);
+}
+
+void relay::abandon_attempt(exchange& session) {
+    std::exchange(session.upstream_link, nullptr)->close();
+    session.buffered.clear();
+    report_attempt_finished(session, session.head_sent ? attempt_outcome::cut : attempt_outcome::garbled);
 }
 
 void relay::forward_body(exchange& session, std::string_view bytes) {
@@ -382,8 +394,13 @@
     const std::string whole = split ? session.splitter.feed(bytes) : std::string();
     recipient->append_body(session.command.resumable ? std::string_view(whole) : bytes);
     // Writing to the caller can fail, which removes the exchange.
-    if (find(id) != nullptr && upstream_link != nullptr &&
-        recipient->unsent_bytes() > caller::high_water_mark) {
+    if (find(id) == nullptr || upstream_link == nullptr) {
+        return;
+    }
+    if (session.splitter.partial_bytes() > max_event_bytes) {
+        return abandon_attempt(session);
+    }
+    if (recipient->unsent_bytes() > caller::high_water_mark) {
         upstream_link->pause_reading(true);
     }
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -114,6 +114,8 @@
     void begin_stream(exchange& session);
     /// Sends a part of the body to the caller; of a resumable stream, complete events only.
     void forward_body(exchange& session, std::string_view bytes);
+    /// Closes the connection of an attempt whose answer cannot be passed on, and reports its end.
+    void abandon_attempt(exchange& session);
     /// Returns true if the body of the answer is a stream of events.
     [[nodiscard]] static bool carries_events(const exchange& session);
     /// Sends the buffered answer to the caller and removes the exchange.
--- a/src/relay/splitter.h
+++ b/src/relay/splitter.h
@@ -26,6 +26,8 @@
     [[nodiscard]] bool has_partial_event() const {
         return pending_.find_first_not_of("\r\n") != std::string::npos;
     }
+    /// Number of buffered bytes.
+    [[nodiscard]] std::size_t partial_bytes() const { return pending_.size(); }
 
 private:
     void record_event(std::string_view event);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -352,6 +352,70 @@
     }
 }
 
+TEST_CASE("bytes without end that are no answer close the upstream connection") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    const std::string filler(65536, 'x');
+    std::string start;
+    std::string repeated = filler;
+    SECTION("in the status line") {
+        start = "HTTP/1.1 200 ";
+    }
+    SECTION("in a field") {
+        start = "HTTP/1.1 200 OK\r\nX-Filler: ";
+    }
+    SECTION("in many fields") {
+        start = "HTTP/1.1 200 OK\r\n";
+        repeated = "X-Filler: " + filler + "\r\n";
+    }
+    SECTION("in interim answers") {
+        repeated = "HTTP/1.1 100 Continue\r\nX-Filler: " + std::string(5000, 'x') + "\r\n\r\n";
+    }
+    SECTION("in a body without the mark of an upstream") {
+        start = "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\n\r\n";
+    }
+    SECTION("in a body that is not run by its status alone") {
+        start = "HTTP/1.1 503 No\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n\r\n";
+    }
+    SECTION("in the answer to another request") {
+        start = "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Seal: s\r\n\r\n";
+    }
+    SECTION("in the parameters of a chunk") {
+        start = "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n1;";
+    }
+    upstream.send(start);
+    const base::time_point started_at = base::boot_clock().now();
+    std::size_t sent = 0;
+    while (!upstream.broken() && base::boot_clock().now() - started_at < seconds(3)) {
+        upstream.send(repeated);
+        sent += repeated.size();
+    }
+    CHECK(upstream.broken());
+    CHECK(sent < std::size_t{32} << 20U);
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 502"));
+}
+
+TEST_CASE("an event without end cuts its stream instead of filling the memory") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/long/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    upstream.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n"
+                  "Content-Type: text/event-stream\r\n\r\ndata: ");
+    const std::string filler(65536, 'x');
+    std::size_t sent = 0;
+    while (!upstream.broken() && sent < std::size_t{64} << 20U) {
+        upstream.send(filler);
+        sent += filler.size();
+    }
+    CHECK(upstream.broken());
+}
+
 TEST_CASE("events are forwarded as they arrive, and a broken stream gets no final chunk") {
     router_fixture router;
     wire caller = router.connect_caller();
--- a/tests/wire.h
+++ b/tests/wire.h
@@ -44,6 +44,7 @@
         while (!bytes.empty()) {
             const http::io_result sent = http::write_some(socket_, bytes);
             if (sent.closed) {
+                broken_ = true;
                 return;
             }
             bytes.remove_prefix(sent.bytes);
@@ -86,6 +87,8 @@
         return read_until([](const std::string&) { return false; });
     }
     [[nodiscard]] bool ended() const { return ended_; }
+    /// Returns true once bytes could not be sent because the peer had closed the connection.
+    [[nodiscard]] bool broken() const { return broken_; }
     [[nodiscard]] bool has_more(std::chrono::milliseconds timeout) const {
         return readable(socket_, timeout);
     }
@@ -100,6 +103,7 @@
 private:
     http::descriptor socket_;
     bool ended_ = false;
+    bool broken_ = false;
 };
 
 /// A server whose answers are written by the test.
