Test that the block of a harmful part reaches every router of a large fleet

The test crashes engines from four of 60 routers and asks all for the block two seconds later, then restarts one router without memory.

--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
@@ -35,21 +36,22 @@
 class fleet {
 public:
     explicit fleet(int count) {
-        std::vector<decision::vm_entry> listed;
         for (int i = 0; i < count; ++i) {
-            listed.push_back(entry(i));
+            listed_.push_back(entry(i));
         }
         for (int i = 0; i < count; ++i) {
             dispatcher_settings settings;
-            settings.member.self = listed[static_cast<std::size_t>(i)].vm;
+            settings.member.self = listed_[static_cast<std::size_t>(i)].vm;
             settings.member.incarnation = base::incarnation(1);
-            settings.member.address = listed[static_cast<std::size_t>(i)].control;
+            settings.member.address = listed_[static_cast<std::size_t>(i)].control;
             settings.member.seed = static_cast<std::uint64_t>(i) + 1;
-            settings.data_centre = listed[static_cast<std::size_t>(i)].data_centre;
-            settings.cpu_cores = listed[static_cast<std::size_t>(i)].cpu_cores;
+            settings.data_centre = listed_[static_cast<std::size_t>(i)].data_centre;
+            settings.cpu_cores = listed_[static_cast<std::size_t>(i)].cpu_cores;
             settings.seed = settings.member.seed;
+            settings_.push_back(settings);
             routers_.push_back(std::make_unique<router>(settings, now_));
-            routers_.back()->decisions.handle(peers_read{listed}, now_);
+            routers_.back()->decisions.handle(relay_started{}, now_);
+            routers_.back()->decisions.handle(peers_read{listed_}, now_);
             confirm(*routers_.back());
         }
     }
@@ -75,9 +77,50 @@
     }
 
     void stop(std::size_t index) { stopped_.insert(index); }
+    /// Replaces the router by one that knows nothing.
+    void restart(std::size_t index) {
+        settings_[index].member.incarnation = base::incarnation(2);
+        routers_[index] = std::make_unique<router>(settings_[index], now_);
+        routers_[index]->decisions.handle(relay_started{}, now_);
+        routers_[index]->decisions.handle(peers_read{listed_}, now_);
+        confirm(*routers_[index]);
+    }
     void publish(std::uint64_t version) { version_ = version; }
     /// Sends a request of `prompt` tokens to the router. Returns true if the router placed it on an engine.
     bool place_request(std::size_t index, std::int64_t prompt, std::uint64_t part) {
+        router& entry_router = *routers_[index];
+        entry_router.sends = 0;
+        entry_router.decisions.handle(make_request(prompt, part), now_);
+        collect(entry_router);
+        return entry_router.sends > 0;
+    }
+    /// Sends two requests with the part to the router, and breaks the connections of both.
+    void crash_engine(std::size_t index, std::uint64_t part) {
+        router& entry_router = *routers_[index];
+        const std::array<request_read, 2> requests{make_request(100, part), make_request(100, part)};
+        for (const request_read& read : requests) {
+            entry_router.decisions.handle(read, now_);
+        }
+        collect(entry_router);
+        for (const request_read& read : requests) {
+            attempt_finished broken;
+            broken.id = read.id;
+            broken.attempt = 1;
+            broken.outcome = attempt_outcome::lost;
+            entry_router.decisions.handle(broken, now_);
+        }
+        collect(entry_router);
+    }
+    /// Returns true if the router refuses a request with the part, because engines crash under it.
+    bool blocks(std::size_t index, std::uint64_t part) {
+        routers_[index]->decisions.handle(make_request(100, part), now_);
+        const dispatcher_output output = routers_[index]->decisions.take_output();
+        return std::any_of(output.relay.begin(), output.relay.end(), [](const relay_command& command) {
+            const end_request* const end = std::get_if<end_request>(&command);
+            return end != nullptr && end->cause == base::error_code::poison_request;
+        });
+    }
+    request_read make_request(std::int64_t prompt, std::uint64_t part) {
         request_read read;
         read.id = session_id(++last_id_);
         read.host = "h.example";
@@ -88,12 +131,9 @@
         read.prompt.max_output_tokens = token_count(10);
         read.prompt.parts = {{part_id(part), token_count(prompt / 2)},
                              {part_id(1000 + last_id_), token_count(prompt / 2)}};
+        read.fingerprint = base::fingerprint(last_id_);
         read.arrived = now_;
-        router& entry_router = *routers_[index];
-        entry_router.sends = 0;
-        entry_router.decisions.handle(read, now_);
-        collect(entry_router);
-        return entry_router.sends > 0;
+        return read;
     }
     /// Indices of the routers that watch the store themselves.
     [[nodiscard]] std::set<std::size_t> watching() const {
@@ -198,6 +238,8 @@
     }
 
     base::time_point now_ = base::time_point(std::chrono::hours(1));
+    std::vector<decision::vm_entry> listed_;
+    std::vector<dispatcher_settings> settings_;
     std::vector<std::unique_ptr<router>> routers_;
     std::vector<decision::datagram> in_transit_;
     std::set<std::size_t> stopped_;
@@ -295,3 +337,22 @@
         CHECK_FALSE(all.place_request(index, 200, 300 + index));
     }
 }
+
+TEST_CASE(
+    "a part that crashes engines is blocked at every router of a large fleet, also at one that restarts") {
+    fleet routers(60);
+    routers.advance(seconds(2));
+    for (std::size_t crash = 0; crash < 4; ++crash) {
+        routers.crash_engine(7 * crash, 666);
+        routers.advance(milliseconds(1100));
+    }
+    routers.advance(seconds(2));
+    std::size_t blocking = 0;
+    for (std::size_t i = 0; i < 60; ++i) {
+        blocking += routers.blocks(i, 666) ? 1 : 0;
+    }
+    CHECK(blocking == 60);
+    routers.restart(11);
+    routers.advance(seconds(3));
+    CHECK(routers.blocks(11, 666));
+}
