Not ready before the relay accepts connections

Callers that the balancer sends to a router which has just started could find no listener: the router was ready as soon as it had a configuration, and the relay reported its start before it listened.

Cause: readiness did not depend on the relay. Change: the relay listens first, then reports its start; a router is ready only after that report.

Test: "a router is not ready before its relay accepts connections", seen failing with the check of the flag taken out of `ready`.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -225,7 +225,7 @@
 }
 
 bool dispatcher::ready(base::time_point now) const {
-    if (!catalogue_ || draining()) {
+    if (!relay_listens_ || !catalogue_ || draining()) {
         return false;
     }
     // If no router reaches the store, a load balancer has no better router to choose.
@@ -265,6 +265,7 @@
         remove_session(sessions_.begin()->first);
     }
     output_.relay.clear();
+    relay_listens_ = true;
 }
 
 void dispatcher::on(const request_read& request) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -220,6 +220,8 @@
     std::map<route_id, std::map<std::int64_t, std::uint32_t>> caller_timeout_counts_;
     std::deque<broken_connection> broken_connections_;
     std::set<base::vm_id> known_routers_;
+    /// The relay has started and accepts connections of callers.
+    bool relay_listens_ = false;
     std::optional<base::time_point> drain_started_;
     base::time_point next_report_;
     base::time_point last_report_;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -148,7 +148,7 @@
     base::duration max_drain_time = std::chrono::milliseconds(7500);
 };
 
-/// The relay has started without any request in progress; those that it had before are lost.
+/// The relay accepts connections and has no request in progress; those that it had before are lost.
 struct relay_started {};
 
 using event = std::variant<relay_started, dispatcher_bounds, request_read, caller_left, answer_started,
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -50,9 +50,9 @@
         pending_events_.clear();
         body_bytes_ = 0;
     });
-    push_event(dispatch::relay_started{});
     server_ = std::make_unique<server>(settings_.listen_address, settings_.max_callers, loop_,
                                        static_cast<request_handler&>(*this));
+    push_event(dispatch::relay_started{});
     while (!stop.requested()) {
         poller_.wait(wait_time());
         update_saturation();
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -68,6 +68,7 @@
                                                                          make_upstream("p1", plain_pool, 4),
                                                                          make_upstream("p2", plain_pool, 4)})
         : decisions_(settings(), now_) {
+        handle(relay_started{});
         handle(catalogue_read{make_catalogue(1), now_});
         handle(roster_read{std::move(upstreams), false, 1, now_});
     }
@@ -739,6 +740,15 @@
     }
 }
 
+TEST_CASE("a router is not ready before its relay accepts connections") {
+    const base::time_point now(std::chrono::hours(1));
+    dispatcher router(dispatcher_fixture::settings(), now);
+    router.handle(catalogue_read{make_catalogue(1), now}, now);
+    CHECK_FALSE(router.ready(now));
+    router.handle(relay_started{}, now);
+    CHECK(router.ready(now));
+}
+
 TEST_CASE("a draining router is not ready, accepts requests for a while, and stops when all have ended") {
     dispatcher_fixture router;
     CHECK(router.decisions().ready(router.now()));
