--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -112,16 +112,16 @@
 void relay::on_request(caller& connection, http::request_head head, std::string body) {
     base::result<request_info> info = dialect_.read_request(head);
     if (!info) {
-        return refuse(connection, "", 400, info.error().code);
+        return refuse(connection, request_info{}, 400, info.error().code);
     }
     if (saturation_.refuses(!needs_engine(info->host, head.target))) {
         // The caller's next attempt can reach another router, which is not overloaded.
         std::uniform_int_distribution<base::duration::rep> jitter(0, overload_retry_delay.count());
-        return refuse(connection, info->caller_request_id, 503, base::error_code::queue_full,
+        return refuse(connection, *info, 503, base::error_code::queue_full,
                       overload_retry_delay + base::duration(jitter(random_)));
     }
     if (body_bytes_ + body.size() > settings_.max_body_bytes) {
-        return refuse(connection, info->caller_request_id, 503, base::error_code::queue_full);
+        return refuse(connection, *info, 503, base::error_code::queue_full);
     }
     std::unique_ptr<exchange> created = std::make_unique<exchange>();
     created->id = dispatch::session_id(++last_session_id_);
@@ -171,14 +171,24 @@
     }
 }
 
-void relay::refuse(caller& connection, const std::string& request_id, int status, base::error_code cause,
+base::client_account_id relay::account_of(const std::string& key) const {
+    const std::shared_ptr<const dispatch::router_state> router = state_.current();
+    if (!router || !router->catalogue) {
+        return {};
+    }
+    const auto found = router->catalogue->keys.find(key);
+    return found == router->catalogue->keys.end() ? base::client_account_id() : found->second;
+}
+
+void relay::refuse(caller& connection, const request_info& request, int status, base::error_code cause,
                    std::optional<base::duration> retry_after) {
-    std::vector<http::field> fields = dialect_.refusal_fields(request_id, retry_after);
+    std::vector<http::field> fields = dialect_.refusal_fields(request.caller_request_id, retry_after);
     metrics_.add({"bluebell_requests_total", {{"outcome", std::string(base::to_string(cause))}}});
     base::log_event(base::log_level::info, name(), "refused",
-                    {{"request", request_id},
+                    {{"request", request.caller_request_id},
                      {"status", status},
                      {"cause", base::to_string(cause)},
+                     {"account", account_of(request.api_key).value()},
                      {"lag_ms", std::chrono::duration<double, std::milli>(saturation_.lag()).count()},
                      {"body_bytes", body_bytes_}});
     connection.answer(status, fields, base::to_string(cause));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -126,7 +126,9 @@
     void report_attempt_finished(exchange& session, dispatch::attempt_outcome outcome);
     /// Removes the exchange. An attempt in progress is cancelled by closing its connection.
     void remove_exchange(exchange& session);
-    void refuse(caller& connection, const std::string& request_id, int status, base::error_code cause,
+    /// Account that holds the API key; empty if none does.
+    [[nodiscard]] base::client_account_id account_of(const std::string& key) const;
+    void refuse(caller& connection, const request_info& request, int status, base::error_code cause,
                 std::optional<base::duration> retry_after = std::nullopt);
     /// Queues an event for the dispatcher and calls `flush_events`.
     void push_event(dispatch::event event);
