Let accounts far below their share use what is left free for others

Cause, of the class "a limit that does not see who asks": below 0.95 of the fair share every account may fill an engine to the same limit (0.8 in a fleet with delegates). Under a flood the accounts just below and above that point keep the engines at it, and an account at a tenth of its share is refused like them. Callers that come back met the lower limit for late work as well.

Change: while the engines are overloaded, the limit rises from the common one at 0.95 of the fair share to the whole engine at half of it, late or not. New fields of `ended`: `limit`, `earlier_attempts_ms`, `tokens`.

Test: "in a large fleet an account far below its share finds room on engines that a flood has filled", seen failing with the rise taken out.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -50,6 +50,8 @@
 constexpr double throttle_start = 0.95;
 constexpr double throttle_end = 1.35;
 constexpr double min_fairness_factor = 0.1;
+/// Accounts whose relative service is at most this may fill engines without regard to others.
+constexpr double underserved_level = 0.5;
 /// Interval of the log lines on the worst served account.
 constexpr base::duration share_line_interval = std::chrono::seconds(1);
 /// Time to pass the answer on to the caller.
@@ -134,6 +136,18 @@
     return "unknown";
 }
 
+std::string_view dispatcher::to_string(placement_limit value) {
+    switch (value) {
+    case placement_limit::none:
+        return "none";
+    case placement_limit::capacity:
+        return "capacity";
+    case placement_limit::delay:
+        return "delay";
+    }
+    return "unknown";
+}
+
 dispatcher::dispatcher(const dispatcher_settings& settings, base::time_point now)
     : settings_(settings), bounds_(settings.bounds), now_(now), members_(settings.member, now),
       delegation_(settings.member.self, settings.data_centre, settings.cpu_cores),
@@ -382,6 +396,23 @@
     return 1 - excess * (1 - min_fairness_factor);
 }
 
+/// Share of an engine that the request may fill. Accounts far below their fair share may use what is left
+/// free for others, late or not: otherwise those that are just within their share fill every engine up to the
+/// same limit, and the remaining accounts are refused whatever they have got.
+double dispatcher::capacity_share(const session& request, bool late) const {
+    const double full_share = delegation_.needed() ? delegated_capacity_share : 1;
+    const double fair =
+        full_share * std::min(late ? late_capacity_share : 1.0,
+                              min_capacity_share + (1 - min_capacity_share) * fairness_factor(request));
+    if (!fair_share_.overloaded()) {
+        return fair;
+    }
+    const double relative_service = fair_share_.relative_service(request.account);
+    const double deficit =
+        std::clamp((throttle_start - relative_service) / (throttle_start - underserved_level), 0.0, 1.0);
+    return fair + deficit * (1 - fair);
+}
+
 bool dispatcher::admit(const session& request, const placement_choice& choice) const {
     if (!request.needs_engine) {
         return true;
@@ -402,15 +433,10 @@
     placement_needs.prompt = &request.prompt;
     placement_needs.memory_tokens = request.memory_tokens;
     placement_needs.excluded = &request.tried_upstreams;
-    const double fairness = fairness_factor(request);
-    placement_needs.capacity_share =
-        std::min(late ? late_capacity_share : 1.0, min_capacity_share + (1 - min_capacity_share) * fairness);
+    placement_needs.capacity_share = capacity_share(request, late);
     const base::duration elapsed = request.earlier_attempts_time + (now_ - request.arrived);
     placement_needs.latency_target =
         std::max(scaled(request.route->objective - elapsed, latency_target_share), base::duration::zero());
-    if (delegation_.needed()) {
-        placement_needs.capacity_share *= delegated_capacity_share;
-    }
     const bool patient = now_ - request.arrived < scaled(request.route->objective, cache_wait_share);
     placement_needs.cache_miss_weight = patient ? full_cache_miss_weight : reduced_cache_miss_weight;
     placement_needs.cache_miss_capacity_share = patient ? waiting_cache_miss_capacity : 1;
@@ -419,6 +445,7 @@
                                                          : plain_sample_size;
     const std::optional<placement_choice> choice = placement_.choose(placement_needs, now_);
     if (!choice || !admit(request, *choice)) {
+        request.limit = choice ? placement_limit::delay : placement_limit::capacity;
         return false;
     }
     start_attempt(request, *choice);
@@ -558,7 +585,7 @@
     session& request = found->second;
     release_placed_work(request);
     request.tried_upstreams.insert(request.target);
-    ++counters_[std::string(to_string(attempt.outcome))];
+    ++counters_[std::string(dispatch::to_string(attempt.outcome))];
     switch (attempt.outcome) {
     case attempt_outcome::delivered:
         if (attempt.status < 500) {
@@ -613,7 +640,7 @@
                     {{"request", request.caller_request_id},
                      {"attempt", request.attempt},
                      {"upstream", request.target.value()},
-                     {"how", to_string(attempt.outcome)},
+                     {"how", dispatch::to_string(attempt.outcome)},
                      {"status", attempt.status},
                      {"upstream_running", attempt.load ? static_cast<double>(attempt.load->running) : -1},
                      {"upstream_waiting", attempt.load ? static_cast<double>(attempt.load->waiting) : -1},
@@ -661,6 +688,9 @@
                      {"cause", base::to_string(cause)},
                      {"attempts", request.attempt},
                      {"waited_ms", to_ms(now_ - request.arrived)},
+                     {"limit", to_string(request.limit)},
+                     {"earlier_attempts_ms", to_ms(request.earlier_attempts_time)},
+                     {"tokens", request.cost.value()},
                      {"account", request.account.value()},
                      {"position", fair_share_.relative_service(request.account)},
                      {"version", catalogue_ ? catalogue_->version.value() : 0}});
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -73,6 +73,13 @@
 
 private:
     enum class stage { queued, sent };
+    /// Why a request that waits was not placed.
+    enum class placement_limit {
+        none,
+        capacity, ///< the best upstream has no slot or memory left for it
+        delay,    ///< its first event would come too late
+    };
+    static std::string_view to_string(placement_limit value);
     /// A request from its arrival to its end.
     struct session {
         session_id id;
@@ -93,6 +100,7 @@
         token_count memory_tokens;
         base::cost cost;
         stage state = stage::queued;
+        placement_limit limit = placement_limit::none;
         /// Number of the current attempt, from one on; zero before the first.
         std::uint32_t attempt = 0;
         /// Upstreams that were handed the request. Attempts without a connection do not count.
@@ -141,6 +149,7 @@
     bool try_place(session& request);
     [[nodiscard]] bool admit(const session& request, const placement_choice& choice) const;
     [[nodiscard]] double fairness_factor(const session& request) const;
+    [[nodiscard]] double capacity_share(const session& request, bool late) const;
     void start_attempt(session& request, const placement_choice& choice);
     void enqueue(session& request);
     void serve_queues();
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -87,13 +87,22 @@
     }
     void publish(std::uint64_t version) { version_ = version; }
     /// Sends a request of `prompt` tokens to the router. Returns true if the router placed it on an engine.
-    bool place_request(std::size_t index, std::int64_t prompt, std::uint64_t part) {
+    bool place_request(std::size_t index, std::int64_t prompt, std::uint64_t part,
+                       const std::string& key = "key") {
         router& entry_router = *routers_[index];
         entry_router.sends = 0;
-        entry_router.decisions.handle(make_request(prompt, part), now_);
+        entry_router.decisions.handle(make_request(prompt, part, key), now_);
         collect(entry_router);
         return entry_router.sends > 0;
     }
+    /// Sends a request with the part to the first router. Returns true if it is placed within `time`.
+    bool place_request_within(milliseconds time, std::uint64_t part, const std::string& key) {
+        if (place_request(0, 100, part, key)) {
+            return true;
+        }
+        advance(time);
+        return routers_[0]->sends > 0;
+    }
     /// Sends two requests with the part to the router, and breaks the connections of both.
     void crash_engine(std::size_t index, std::uint64_t part) {
         router& entry_router = *routers_[index];
@@ -120,12 +129,12 @@
             return end != nullptr && end->cause == base::error_code::poison_request;
         });
     }
-    request_read make_request(std::int64_t prompt, std::uint64_t part) {
+    request_read make_request(std::int64_t prompt, std::uint64_t part, const std::string& key = "key") {
         request_read read;
         read.id = session_id(++last_id_);
         read.host = "h.example";
         read.path = "/text/1";
-        read.key = "key";
+        read.key = key;
         read.caller_timeout = seconds(10);
         read.prompt.prompt_tokens = token_count(prompt);
         read.prompt.max_output_tokens = token_count(10);
@@ -193,7 +202,7 @@
         model.id = model_pool;
         model.engine = engine_traits{base::slot_count(10), token_count(100000), 0};
         result->pools = {{model_pool, model}};
-        result->keys = {{"key", base::client_account_id("a")}};
+        result->keys = {{"key", base::client_account_id("a")}, {"key-b", base::client_account_id("b")}};
         result->tokens_per_s = 50000;
         result->index();
         return result;
@@ -356,3 +365,14 @@
     routers.advance(seconds(3));
     CHECK(routers.blocks(11, 666));
 }
+
+TEST_CASE("in a large fleet an account far below its share finds room on engines that a flood has filled") {
+    fleet routers(20);
+    routers.advance(seconds(2));
+    for (int i = 0; i < 40; ++i) {
+        routers.place_request(0, 100, 10);
+    }
+    routers.advance(milliseconds(500));
+    CHECK_FALSE(routers.place_request_within(milliseconds(150), 100, "key"));
+    CHECK(routers.place_request_within(milliseconds(150), 101, "key-b"));
+}
