--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -14,10 +14,22 @@
 using nlohmann::ordered_json;
 
 /// Events that change a router's view of the fleet; the last ones before a request explain its outcome.
-constexpr std::array<std::string_view, 15> view_events = {
-    "started",      "stop_requested", "draining",         "state_changed",  "configuration_in_force",
-    "store_failed", "store_regained", "history_lost",     "watching_store", "following_delegate",
-    "overloaded",   "overload_over",  "delegate_changed", "member_changed", "settings_read"};
+constexpr std::array<std::string_view, 16> view_events = {"started",
+                                                          "stop_requested",
+                                                          "draining",
+                                                          "state_changed",
+                                                          "configuration_in_force",
+                                                          "store_failed",
+                                                          "store_regained",
+                                                          "history_lost",
+                                                          "watching_store",
+                                                          "following_delegate",
+                                                          "overloaded",
+                                                          "overload_over",
+                                                          "delegate_changed",
+                                                          "member_changed",
+                                                          "settings_read",
+                                                          "blocked_after_crashes"};
 /// Largest number of view events of one router that are shown before the first line of the request.
 constexpr std::size_t max_views_before = 5;
 
--- a/src/dispatch/attribution.cpp
+++ b/src/dispatch/attribution.cpp
@@ -51,11 +51,29 @@
             continue;
         }
         found->changed_at = now;
+        last_evidence_at_ = now;
+        evaluated_ = false;
         open_suspects_.insert(suspect.request);
         open_suspects_.insert(suspect.shared_parts.begin(), suspect.shared_parts.end());
     }
     if (crashes_.size() > max_crashes) {
-        crashes_.pop_front();
+        drop_oldest_crash();
+    }
+}
+
+/// Drops the crash, and the open suspects that no other crash names.
+void crash_attribution::drop_oldest_crash() {
+    const crash dropped = std::move(crashes_.front());
+    crashes_.pop_front();
+    const auto forget = [&](const base::fingerprint& feature) {
+        if (std::none_of(crashes_.begin(), crashes_.end(),
+                         [&](const crash& remaining) { return names(remaining, feature); })) {
+            open_suspects_.erase(feature);
+        }
+    };
+    for (const auto& [request, shared_parts] : dropped.suspects) {
+        forget(request);
+        std::for_each(shared_parts.begin(), shared_parts.end(), forget);
     }
 }
 
@@ -81,8 +99,11 @@
 /// Ignores features that are neither suspected nor blocked, so that the state stays small.
 void crash_attribution::clear(const base::fingerprint& feature, base::time_point answered_at,
                               base::time_point now) {
-    if ((open_suspects_.count(feature) == 0 && blocked_.count(feature) == 0) ||
-        !is_suspect(feature, answered_at - base::duration(1))) {
+    if (open_suspects_.count(feature) == 0 && blocked_.count(feature) == 0) {
+        return;
+    }
+    const auto known = successes_.find(feature);
+    if (known != successes_.end() && answered_at <= known->second.answered_at) {
         return;
     }
     successes_[feature] = {answered_at, now};
@@ -90,19 +111,22 @@
     if (blocked != blocked_.end() && blocked->second.last_crash < answered_at) {
         blocked_.erase(blocked);
     }
-    const auto names = [&](const auto& suspect) {
-        return suspect.first == feature ||
-               std::find(suspect.second.begin(), suspect.second.end(), feature) != suspect.second.end();
-    };
     const bool still_open = std::any_of(crashes_.begin(), crashes_.end(), [&](const crash& observed) {
-        return answered_at <= observed.crashed_at &&
-               std::any_of(observed.suspects.begin(), observed.suspects.end(), names);
+        return answered_at <= observed.crashed_at && names(observed, feature);
     });
     if (!still_open) {
         open_suspects_.erase(feature);
     }
 }
 
+/// Returns true if the feature belongs to a suspect of the crash.
+bool crash_attribution::names(const crash& observed, const base::fingerprint& feature) {
+    return std::any_of(observed.suspects.begin(), observed.suspects.end(), [&](const auto& suspect) {
+        const std::vector<base::fingerprint>& parts = suspect.second;
+        return suspect.first == feature || std::find(parts.begin(), parts.end(), feature) != parts.end();
+    });
+}
+
 void crash_attribution::merge(const decision::crash_news& news, base::time_point now) {
     for (const decision::upstream_crash& reported : news.crashes) {
         add_crash(reported.upstream, now - reported.age, reported.suspects, now);
@@ -231,10 +255,7 @@
 
 void crash_attribution::expire(base::time_point now) {
     while (!crashes_.empty() && now - crashes_.front().crashed_at >= report_lifetime) {
-        crashes_.pop_front();
-    }
-    if (crashes_.empty()) {
-        open_suspects_.clear();
+        drop_oldest_crash();
     }
     for (auto blocked = blocked_.begin(); blocked != blocked_.end();) {
         blocked = now - blocked->second.last_crash >= report_lifetime ? blocked_.erase(blocked)
@@ -248,7 +269,9 @@
 
 std::vector<decision::blocked_feature> crash_attribution::update(base::time_point now) {
     expire(now);
-    if (!open_suspects_.empty()) {
+    // Without new evidence, a part becomes harmful at most by the end of the observation time.
+    if (!evaluated_) {
+        evaluated_ = now - last_evidence_at_ >= observation_time;
         block_requests(now);
         block_parts(now);
     }
--- a/src/dispatch/attribution.h
+++ b/src/dispatch/attribution.h
@@ -103,6 +103,8 @@
     [[nodiscard]] static bool is_harmful(const part_record& record, base::time_point now);
     [[nodiscard]] static std::tuple<bool, int, std::size_t> rank(const part_record& record,
                                                                  base::time_point now);
+    [[nodiscard]] static bool names(const crash& observed, const base::fingerprint& feature);
+    void drop_oldest_crash();
     void prolong_blocks(const decision::crash_suspect& suspect, base::time_point crashed_at);
     void clear(const base::fingerprint& feature, base::time_point answered_at, base::time_point now);
     void block(const base::fingerprint& feature, decision::feature_kind kind, base::time_point last_crash,
@@ -119,6 +121,9 @@
     /// When a part was last blocked. Earlier crashes count against no other part, since the evidence that
     /// explains them may still be on its way from other routers.
     base::time_point part_blocked_at_;
+    base::time_point last_evidence_at_;
+    /// The blocks were decided with all the evidence, and `observation_time` after the last of it.
+    bool evaluated_ = true;
     std::vector<decision::blocked_feature> new_blocks_;
     /// Features of suspects that no success after their last crash has cleared.
     std::unordered_set<base::fingerprint> open_suspects_;
