Count requests that the relay refuses as requested

Cause: requests that the relay refuses never reached the sums from which the fair level is computed. An account whose callers meet routers that are behind seemed to want little.

Change: the relay adds up the cost of the model requests that it refuses, by account, and reports it to the dispatcher every 100 ms.

Test: "requests that the relay refuses count as requested by their account"; the event is new, so there is nothing to see failing without it.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -114,6 +114,11 @@
 
 } // namespace
 
+base::cost model_request_cost(const prompt_info& prompt) {
+    return base::cost(static_cast<double>(prompt.prompt_tokens.value()) +
+                      output_token_weight * static_cast<double>(expected_output(prompt).value()));
+}
+
 std::string_view to_string(attempt_outcome value) {
     switch (value) {
     case attempt_outcome::delivered:
@@ -308,11 +313,7 @@
     created.deadline =
         request.arrived + std::min(request.caller_timeout.value_or(matched->timeout), matched->timeout);
     created.needs_engine = catalogue_->engine(created.pool) != nullptr;
-    const double output_tokens = static_cast<double>(expected_output(request.prompt).value());
-    created.cost =
-        base::cost(created.needs_engine ? static_cast<double>(request.prompt.prompt_tokens.value()) +
-                                              output_token_weight * output_tokens
-                                        : plain_request_cost);
+    created.cost = created.needs_engine ? model_request_cost(request.prompt) : base::cost(plain_request_cost);
     created.memory_tokens = request.prompt.prompt_tokens + expected_output(request.prompt);
     retry_budget_.count_first_attempt(created.pool, now_);
     if (drain_started_ && now_ - *drain_started_ > settings_.drain_accept_time) {
@@ -546,6 +547,14 @@
     return scaled(request.deadline - request.arrived, retry_delay_share * (1 + random_share));
 }
 
+/// Without these requests, an account whose callers meet routers that are behind would seem to want less than
+/// it does, and others would count as served fairly beside it.
+void dispatcher::on(const requests_refused& refused) {
+    for (const auto& [account, cost] : refused.requested) {
+        fair_share_.record_request(account, cost, now_);
+    }
+}
+
 void dispatcher::on(const caller_left& departure) {
     const auto found = sessions_.find(departure.id);
     if (found != sessions_.end()) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -129,6 +129,7 @@
     void on(const dispatcher_bounds& bounds);
     void on(const relay_started& start);
     void on(const request_read& request);
+    void on(const requests_refused& refused);
     void on(const caller_left& departure);
     void on(const answer_started& start);
     void on(const attempt_finished& attempt);
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -8,6 +8,7 @@
 #include "dispatch/roster.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -37,6 +38,10 @@
     std::optional<token_count> output_tokens_hint;
 };
 
+/// Estimated cost of a model request in the service of its account, in tokens: those read count once, those
+/// generated twice.
+base::cost model_request_cost(const prompt_info& prompt);
+
 // Events that the dispatcher handles. Each arrives over the bounded ring of events.
 
 /// A complete request was read from a caller.
@@ -56,6 +61,11 @@
     base::time_point arrived;
 };
 
+/// Cost of the model requests, by account, that the relay itself has refused since the last such event.
+struct requests_refused {
+    std::map<base::client_account_id, base::cost> requested;
+};
+
 /// The caller closed its connection before its request ended.
 struct caller_left {
     session_id id;
@@ -151,9 +161,10 @@
 /// The relay accepts connections and has no request in progress; those that it had before are lost.
 struct relay_started {};
 
-using event = std::variant<relay_started, dispatcher_bounds, request_read, caller_left, answer_started,
-                           attempt_finished, catalogue_read, roster_read, roster_changed, peers_read,
-                           decision::message_received, decision::drain_requested, decision::report_requested>;
+using event =
+    std::variant<relay_started, dispatcher_bounds, request_read, requests_refused, caller_left,
+                 answer_started, attempt_finished, catalogue_read, roster_read, roster_changed, peers_read,
+                 decision::message_received, decision::drain_requested, decision::report_requested>;
 
 // Commands that the dispatcher issues to the relay and to the followers of the store.
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -22,6 +22,8 @@
 constexpr base::duration overload_retry_delay = std::chrono::milliseconds(20);
 /// Minimum time between two passes that destroy closed connections.
 constexpr base::duration removal_interval = std::chrono::milliseconds(20);
+/// Interval of the reports on refused requests; each costs a wake-up of the dispatcher.
+constexpr base::duration refusal_report_interval = std::chrono::milliseconds(100);
 constexpr std::string_view event_stream_type = "text/event-stream";
 constexpr int success_status_class = 2;
 constexpr int first_server_error_status = 500;
@@ -58,6 +60,7 @@
         update_saturation();
         timers_.run_expired(clock_.now());
         execute_commands();
+        report_refused(clock_.now());
         flush_events();
         remove_closed(clock_.now());
     }
@@ -114,7 +117,11 @@
     if (!info) {
         return refuse(connection, request_info{}, 400, info.error().code);
     }
-    if (saturation_.refuses(!needs_engine(info->host, head.target))) {
+    const bool costly = needs_engine(info->host, head.target);
+    if (saturation_.refuses(!costly)) {
+        if (costly) {
+            count_refused(*info);
+        }
         // The caller's next attempt can reach another router, which is not overloaded.
         std::uniform_int_distribution<base::duration::rep> jitter(0, overload_retry_delay.count());
         return refuse(connection, *info, 503, base::error_code::queue_full,
@@ -147,6 +154,20 @@
     push_event(std::move(event));
 }
 
+void relay::count_refused(const request_info& request) {
+    const base::client_account_id account = account_of(request.api_key);
+    if (!account.value().empty()) {
+        refused_.requested[account] += dispatch::model_request_cost(request.prompt);
+    }
+}
+
+void relay::report_refused(base::time_point now) {
+    if (!refused_.requested.empty() && now >= next_refusal_report_) {
+        next_refusal_report_ = now + refusal_report_interval;
+        push_event(std::exchange(refused_, {}));
+    }
+}
+
 bool relay::needs_engine(const std::string& host, const std::string& target) const {
     const std::shared_ptr<const dispatch::router_state> router = state_.current();
     if (!router || !router->catalogue) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -137,6 +137,10 @@
     /// Returns true if the route of the request is a streaming one, which a model engine serves.
     [[nodiscard]] bool needs_engine(const std::string& host, const std::string& target) const;
     void update_saturation();
+    /// Counts a refused model request for the fair shares.
+    void count_refused(const request_info& request);
+    /// Reports the counted requests to the dispatcher at most every `refusal_report_interval`.
+    void report_refused(base::time_point now);
     void remove_closed(base::time_point now);
     exchange* find(dispatch::session_id id);
     exchange* exchange_of(const caller& connection);
@@ -164,6 +168,8 @@
     bool was_draining_ = false;
     saturation saturation_;
     std::atomic<bool> overloaded_{false};
+    dispatch::requests_refused refused_;
+    base::time_point next_refusal_report_;
     base::time_point next_removal_;
     /// Removals of the poller at the last `remove_closed`.
     std::uint64_t handled_removals_ = 0;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -267,6 +267,27 @@
     CHECK(worst->greatest_service.value() == Approx(1000));
 }
 
+TEST_CASE("requests that the relay refuses count as requested by their account") {
+    dispatcher_fixture router;
+    REQUIRE(router.sent(router.request("/text/1", "key-a")) != nullptr);
+    REQUIRE(router.sent(router.request("/text/1", "key-b")) != nullptr);
+    const auto pressure = [&] {
+        router.advance(milliseconds(150));
+        for (const decision::state_section& section : router.decisions().report(router.now())) {
+            for (const decision::state_value& value : section.values) {
+                if (value.name == "pressure") {
+                    return std::stod(value.json);
+                }
+            }
+        }
+        return 0.0;
+    };
+    CHECK(pressure() == Approx(1));
+    router.handle(requests_refused{{{base::client_account_id("a"), base::cost(7200)}}});
+    // Each of the requests that were sent costs 1,200.
+    CHECK(pressure() == Approx(4).epsilon(0.1));
+}
+
 TEST_CASE("no account is ahead of its share while capacity suffices") {
     const base::time_point now(std::chrono::hours(1));
     fair_share share;
