Log who is served best and how full the engines are beside the worst served account

Formed before any change of logic, with what each would show: 1. Engines have room, and an account above its share is throttled only by how full they are. Then occupancy is below the limit while the best served account is far ahead. 2. Routers with old reports see engines fuller than they are. Then the same engines are full for some routers and free for others at the same time. 3. Routers at their processor limit refuse, and nothing else is wrong. Then all refusals of the account name the lag.

The logs told the first from the others only by guess: they named the worst served account but not the best one, nothing said how full the engines were, and `delivered` lines named no account. `worst_served_account` now has `best_served` and `engine_occupancy`; `delivered` has `account` and `tokens`. No decision changes.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -346,8 +346,10 @@
                          {"share", worst->share},
                          {"served_tokens", worst->served.value()},
                          {"requested_tokens", worst->requested.value()},
+                         {"best_served", worst->best_served.value()},
                          {"greatest_service_tokens", worst->greatest_service.value()},
-                         {"pressure", fair_share_.pressure()}});
+                         {"pressure", fair_share_.pressure()},
+                         {"engine_occupancy", placement_.engine_occupancy()}});
     }
 }
 
@@ -605,6 +607,8 @@
                         {{"request", request.caller_request_id},
                          {"status", attempt.status},
                          {"upstream", request.target.value()},
+                         {"account", request.account.value()},
+                         {"tokens", request.cost.value()},
                          {"attempts", request.attempt},
                          {"queued_ms", to_ms(request.sent_at - request.arrived)},
                          {"first_event_ms",
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -332,6 +332,21 @@
     return found == ready_.end() ? 0 : found->second.size();
 }
 
+double placement::engine_occupancy() const {
+    double running = 0;
+    double slots = 0;
+    for (const auto& [pool, ready] : ready_) {
+        if (!catalogue_ || catalogue_->engine(pool) == nullptr) {
+            continue;
+        }
+        for (const candidate& ready_engine : ready) {
+            running += static_cast<double>(ready_engine.state->total().running);
+            slots += static_cast<double>(ready_engine.entry->slots.value());
+        }
+    }
+    return slots > 0 ? running / slots : 0;
+}
+
 /// Chooses an engine by rendezvous hashing of the last shared part of the prompt, so that all routers choose
 /// the same one. The last part of a prompt belongs to the request alone; the one before it may be shared.
 const placement::candidate* placement::preferred_engine(const placement_request& request) const {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -134,6 +134,8 @@
     [[nodiscard]] const std::map<base::upstream_id, upstream_state>& states() const { return states_; }
     /// Number of upstreams of the pool that take new work.
     [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
+    /// Share of the slots of all ready engines that the fleet's requests occupy.
+    [[nodiscard]] double engine_occupancy() const;
 
 private:
     /// Last report of one router on one upstream.
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -184,8 +184,12 @@
 
 std::optional<worst_served_account> fair_share::worst_served(base::time_point now) const {
     double greatest = 0;
+    base::client_account_id best_served;
     for (const auto& [account, account_rate] : fleet_) {
-        greatest = std::max(greatest, account_rate.served);
+        if (account_rate.served > greatest) {
+            greatest = account_rate.served;
+            best_served = account;
+        }
     }
     const double factor = weight(now);
     std::optional<worst_served_account> worst;
@@ -197,7 +201,8 @@
         const double share = account_rate.served / reference;
         if (!worst || share < worst->share) {
             worst = {account, base::cost(account_rate.served / factor),
-                     base::cost(account_rate.requested / factor), base::cost(greatest / factor), share};
+                     base::cost(account_rate.requested / factor), best_served,
+                     base::cost(greatest / factor), share};
         }
     }
     return worst;
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -18,7 +18,8 @@
     base::client_account_id account;
     base::cost served;
     base::cost requested;
-    /// Service of the account that was served most.
+    /// The account that was served most, and its service.
+    base::client_account_id best_served;
     base::cost greatest_service;
     double share = 1;
 };
