Bound the service of all accounts by that of the worst served backlogged one

Cause: the limits that hold back an account above its share act only where engines are full or slow. xada180's callers meet three small routers that are behind with their work; what it cannot use, the others take, and the fair level follows what was served. With engines two thirds full, noje472 at 1.5 of its share was hardly refused. The class: a controller whose actuator has no effect outside the range in which it was tuned.

Ruled out: that noje472's position was unknown (its lines show 1.1 to 1.69), and wrong sums (all delegates agree within their age).

Change: while engines are overloaded, an account that requests at least its fair share and has been below 0.7 of the best service for a second bounds the service of all others to 1/0.7 of its own. No account is held below half of its part of the throughput that the operator states; otherwise one account that nothing can serve would stop the fleet. Requests held back wait in the queue, cost no placement, and are refused with limit `service`.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -149,6 +149,8 @@
         return "capacity";
     case placement_limit::delay:
         return "delay";
+    case placement_limit::service:
+        return "service";
     }
     return "unknown";
 }
@@ -430,6 +432,10 @@
 }
 
 bool dispatcher::try_place(session& request) {
+    if (request.needs_engine && fair_share_.exceeds_service_bound(request.account)) {
+        request.limit = placement_limit::service;
+        return false;
+    }
     const bool late = request.earlier_attempts_time + (now_ - request.arrived) >= request.route->objective;
     placement_request placement_needs;
     placement_needs.pool = request.pool;
@@ -529,7 +535,7 @@
             if (failures < max_failures_per_pass && try_place(request)) {
                 continue;
             }
-            ++failures;
+            failures += request.limit == placement_limit::service ? 0 : 1;
             if (now_ - request.arrived >= max_queue_time(request)) {
                 refuse(request,
                        placement_.ready_count(pool) == 0 ? error_code::no_upstream : error_code::queue_full);
@@ -731,6 +737,7 @@
     }
     catalogue_ = reading.new_catalogue;
     placement_.set_catalogue(catalogue_);
+    fair_share_.set_stated_throughput(catalogue_->tokens_per_s);
     members_.put_in_force(catalogue_->version, now_);
     output_.in_force = catalogue_;
     if (pending_view_) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -78,6 +78,7 @@
         none,
         capacity, ///< the best upstream has no slot or memory left for it
         delay,    ///< its first event would come too late
+        service,  ///< its account is too far ahead of a backlogged one
     };
     static std::string_view to_string(placement_limit value);
     /// A request from its arrival to its end.
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace bluebell::dispatch {
 namespace {
@@ -12,9 +13,25 @@
 constexpr double overload_pressure = 1.05;
 /// Accounts whose decayed costs are below this many tokens are forgotten.
 constexpr double negligible_tokens = 1;
+/// Share of its part of the stated throughput that no account has to leave to others.
+constexpr double guaranteed_share = 0.5;
 /// Weight at which the origin of time is moved: e^10, reached after 20 s.
 constexpr double max_weight = 22026;
 
+/// Service at which the accounts use up `capacity` if each gets what it requests, but no more than that;
+/// infinite if they request less than the capacity. Pre-condition: `requested` is sorted.
+double max_min_level(const std::vector<double>& requested, double capacity) {
+    double remaining = capacity;
+    for (std::size_t i = 0; i < requested.size(); ++i) {
+        const double equal_share = remaining / static_cast<double>(requested.size() - i);
+        if (requested[i] >= equal_share) {
+            return equal_share;
+        }
+        remaining -= requested[i];
+    }
+    return std::numeric_limits<double>::infinity();
+}
+
 } // namespace
 
 double fair_share::weight(base::time_point now) const {
@@ -154,28 +171,52 @@
         drop_peer(vm);
     }
     double served = 0;
-    std::vector<double> requested;
     double requested_sum = 0;
+    std::vector<double> requested;
+    requested.reserve(fleet_.size());
     for (const auto& [account, account_rate] : fleet_) {
         served += account_rate.served;
-        requested.push_back(account_rate.requested);
         requested_sum += account_rate.requested;
+        requested.push_back(account_rate.requested);
     }
     pressure_ = served > 0 ? requested_sum / served : 1;
     fair_level_ = std::numeric_limits<double>::infinity();
+    service_bound_ = std::numeric_limits<double>::infinity();
     if (!overloaded()) {
+        behind_since_.clear();
         return;
     }
     std::sort(requested.begin(), requested.end());
-    double remaining = served;
-    for (std::size_t i = 0; i < requested.size(); ++i) {
-        const double equal_share = remaining / static_cast<double>(requested.size() - i);
-        if (requested[i] >= equal_share) {
-            fair_level_ = equal_share;
-            return;
+    fair_level_ = max_min_level(requested, served);
+    const double stated_capacity =
+        stated_throughput_ * std::chrono::duration<double>(decay_time).count() * weight(now);
+    const double guaranteed =
+        guaranteed_share * (stated_capacity > 0 ? max_min_level(requested, stated_capacity) : fair_level_);
+    // The fair level alone bounds no gap: it follows what was served, and what an account cannot use of its
+    // share goes to the others.
+    service_bound_ = std::max(find_least_service(now) / min_service_ratio, guaranteed);
+}
+
+double fair_share::find_least_service(base::time_point now) {
+    double greatest = 0;
+    for (const auto& [account, account_rate] : fleet_) {
+        greatest = std::max(greatest, account_rate.served);
+    }
+    double least = std::numeric_limits<double>::infinity();
+    std::map<base::client_account_id, base::time_point> behind_since;
+    for (const auto& [account, account_rate] : fleet_) {
+        if (account_rate.requested < fair_level_ || account_rate.served >= min_service_ratio * greatest) {
+            continue;
+        }
+        const auto known = behind_since_.find(account);
+        const base::time_point since = known == behind_since_.end() ? now : known->second;
+        behind_since.emplace(account, since);
+        if (now - since >= catch_up_time) {
+            least = std::min(least, account_rate.served);
         }
-        remaining -= requested[i];
     }
+    behind_since_ = std::move(behind_since);
+    return least;
 }
 
 bool fair_share::overloaded() const {
@@ -200,14 +241,22 @@
         }
         const double share = account_rate.served / reference;
         if (!worst || share < worst->share) {
-            worst = {account, base::cost(account_rate.served / factor),
-                     base::cost(account_rate.requested / factor), best_served,
-                     base::cost(greatest / factor), share};
+            worst = {account,
+                     base::cost(account_rate.served / factor),
+                     base::cost(account_rate.requested / factor),
+                     best_served,
+                     base::cost(greatest / factor),
+                     share};
         }
     }
     return worst;
 }
 
+bool fair_share::exceeds_service_bound(const base::client_account_id& account) const {
+    const auto found = fleet_.find(account);
+    return found != fleet_.end() && found->second.served > service_bound_;
+}
+
 double fair_share::relative_service(const base::client_account_id& account) const {
     const auto found = fleet_.find(account);
     if (found == fleet_.end() || std::isinf(fair_level_) || fair_level_ <= 0) {
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -5,6 +5,7 @@
 #include "base/unit.h"
 #include "decision/message.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,6 +38,15 @@
     /// The report of a peer that has been silent for longer than this is dropped.
     static constexpr base::duration report_timeout = std::chrono::seconds(2);
 
+    /// Least service of a backlogged account, as a share of that of the best served one, that other accounts
+    /// may cause.
+    static constexpr double min_service_ratio = 0.7;
+    /// How long a backlogged account may stay below `min_service_ratio` before the others are held back.
+    static constexpr base::duration catch_up_time = std::chrono::seconds(1);
+
+    /// Sets the throughput of all engines that the operator states, in tokens per second. Zero if unknown.
+    void set_stated_throughput(double tokens_per_s) { stated_throughput_ = tokens_per_s; }
+
     /// Counts a request of the account, whether or not it is served.
     void record_request(const base::client_account_id& account, base::cost amount, base::time_point now);
     /// Counts service that this router gave to the account.
@@ -59,6 +69,9 @@
     /// Service of the account in the fleet divided by the fair level: below one the account got less than
     /// its fair share, above one more. Zero while the capacity suffices for all.
     [[nodiscard]] double relative_service(const base::client_account_id& account) const;
+    /// Returns true if the account got so much more than a backlogged one that its requests have to wait,
+    /// even where engines have room: what holds the other account back may be its routers.
+    [[nodiscard]] bool exceeds_service_bound(const base::client_account_id& account) const;
     /// Requested cost divided by served cost; above one the engines are overloaded.
     [[nodiscard]] double pressure() const { return pressure_; }
     /// Returns true if the capacity does not suffice for what all accounts request.
@@ -82,14 +95,23 @@
     [[nodiscard]] double weight(base::time_point now) const;
     void rebase(base::time_point now);
     void subtract_from_fleet(const rates& accounts);
+    /// Accounts that request at least their fair share and are below `min_service_ratio` since
+    /// `catch_up_time` hold back the others. Returns the least service of such an account; infinite if there
+    /// is none.
+    [[nodiscard]] double find_least_service(base::time_point now);
 
     std::optional<base::time_point> origin_;
     rates own_;
     std::map<base::vm_id, peer_report> peers_;
     /// Sums over this router and its peers.
     rates fleet_;
+    double stated_throughput_ = 0;
     double fair_level_ = 0;
     double pressure_ = 1;
+    /// Backlogged accounts whose service is below `min_service_ratio`, with the time since when.
+    std::map<base::client_account_id, base::time_point> behind_since_;
+    /// Service beyond which requests of an account wait.
+    double service_bound_ = std::numeric_limits<double>::infinity();
 };
 
 } // namespace bluebell::dispatch
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -288,6 +288,29 @@
     CHECK(pressure() == Approx(4).epsilon(0.1));
 }
 
+TEST_CASE("an account that nothing can serve holds the others back to no less than half of their stated share") {
+    const base::time_point now(std::chrono::hours(1));
+    const base::time_point later = now + fair_share::catch_up_time;
+    const base::client_account_id starved("starved");
+    const base::client_account_id within("within");
+    const base::client_account_id beyond("beyond");
+    fair_share share;
+    // The two accounts that request most share 4,000 tokens of the decay time; 1,000 are half of 2,000.
+    share.set_stated_throughput(2000);
+    for (const base::time_point at : {now, later}) {
+        share.record_request(starved, base::cost(50000), at);
+        share.record_request(beyond, base::cost(50000), at);
+        share.record_service(beyond, base::cost(900), at);
+        share.update(at);
+        CHECK(share.exceeds_service_bound(beyond) == (at == later));
+    }
+    share.record_request(within, base::cost(500), later);
+    share.record_service(within, base::cost(500), later);
+    share.update(later);
+    CHECK_FALSE(share.exceeds_service_bound(within));
+    CHECK_FALSE(share.exceeds_service_bound(starved));
+}
+
 TEST_CASE("no account is ahead of its share while capacity suffices") {
     const base::time_point now(std::chrono::hours(1));
     fair_share share;
@@ -863,3 +886,31 @@
     CHECK(served["key-a"] > 0);
     CHECK(served["key-b"] >= std::min(asked, served["key-a"]) / 2);
 }
+
+TEST_CASE("an account that its routers refuse gets at least half of what a flooding account gets") {
+    dispatcher_fixture router;
+    std::map<std::string, double> served;
+    std::deque<std::pair<base::time_point, session_id>> running;
+    std::uint64_t part = 1000;
+    // Engines have room throughout: a request runs for 100 ms, and four start every 50 ms.
+    for (int step = 0; step < 160; ++step) {
+        router.handle(requests_refused{{{base::client_account_id("b"), base::cost(4000)}}});
+        for (int i = 0; i < 5; ++i) {
+            const std::string key = i == 0 ? "key-b" : "key-a";
+            const session_id id = router.request("/text/1", key, 200, ++part);
+            if (router.sent(id) != nullptr) {
+                router.handle(answer_started{id, 1});
+                running.emplace_back(router.now() + milliseconds(100), id);
+                served[key] += step < 40 ? 0 : 1;
+            }
+        }
+        router.advance(milliseconds(50));
+        router.handle(catalogue_read{nullptr, router.now()});
+        while (!running.empty() && running.front().first <= router.now()) {
+            router.finish(running.front().second, attempt_outcome::delivered);
+            running.pop_front();
+        }
+    }
+    CHECK(served["key-b"] > 0);
+    CHECK(served["key-b"] >= served["key-a"] / 2);
+}
