Keep the request rate that an upstream states, over all routers together

Cause: the field never reached the decisions; the dialect did not read it, and an answer had no member for it. The class: a statement of a peer that is dropped where messages are decoded.

Weighed: a limit kept by each router for itself, which multiplies it by the number of routers; even parts, which idle where callers meet few routers; permits of an owner, which cost a round trip a request; chosen: parts by each router's share of the demand, told with the reports.

Change: `relay::answer_info` and the event `upstream_stated` carry what an upstream says of itself, from every answer that belongs to its request, refusals and held failures too. `dispatch/limits` keeps the limits, by process of the upstream, and this router's part of each; unused parts expire after a second, since those saved up in a large fleet would exceed the limit together. Routers exchange limits and demands in a message of its own while any limit is in force. A limit ends with an answer that states none, not within half a second of one that does, or after a silence.

Tests: three in dispatch_test and one in relay_test, all four seen failing with `may_send` always true; one more for routers that have not reported yet; codec_test has the message.

--- a/src/base/unit.h
+++ b/src/base/unit.h
@@ -51,6 +51,8 @@
 using weight = quantity<struct weight_tag, double>;
 /// Number of requests that an upstream runs at the same time.
 using slot_count = quantity<struct slot_count_tag, std::int32_t>;
+/// Requests per second.
+using request_rate = quantity<struct request_rate_tag, double>;
 using byte_count = quantity<struct byte_count_tag, std::uint64_t>;
 /// Number of an accepted release; each release increments it by one.
 using revision = quantity<struct revision_tag, std::uint64_t>;
--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -277,8 +277,36 @@
     std::uint64_t upstreams_position = 0;
 };
 
-using message = std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim,
-                             claim_result, settle, settle_ack, crash_report, work_report, crash_news>;
+/// Limit of its request rate that an upstream stated.
+struct stated_limit {
+    base::upstream_id upstream;
+    /// Start time of the upstream process, in ms.
+    std::int64_t started_ms = 0;
+    base::request_rate limit;
+    /// Time since the last statement.
+    base::duration age{};
+};
+
+/// Requests that the sender has had for a pool; decays exponentially.
+struct pool_demand {
+    base::pool_id pool;
+    double requests = 0;
+};
+
+/// Limits that upstreams state, and the demand by which the routers divide them. For each pool that it
+/// contains, it replaces what the sender reported before.
+struct limit_report {
+    std::vector<stated_limit> limits;
+    std::vector<pool_demand> demands;
+    /// Number of routers whose demand is contained.
+    std::uint32_t routers = 1;
+    /// True if the report adds up several routers; sent by the delegate of a data centre.
+    bool aggregated = false;
+};
+
+using message =
+    std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim, claim_result,
+                 settle, settle_ack, crash_report, work_report, crash_news, limit_report>;
 
 /// Virtual time of a pool.
 struct pool_time {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -151,14 +151,16 @@
         return "delay";
     case placement_limit::service:
         return "service";
+    case placement_limit::stated:
+        return "stated";
     }
     return "unknown";
 }
 
 dispatcher::dispatcher(const dispatcher_settings& settings, base::time_point now)
     : settings_(settings), bounds_(settings.bounds), now_(now), members_(settings.member, now),
-      delegation_(settings.member.self, settings.data_centre, settings.cpu_cores),
-      placement_(settings.data_centre, settings.seed),
+      delegation_(settings.member.self, settings.data_centre, settings.cpu_cores), limits_(settings.seed),
+      placement_(settings.data_centre, settings.seed, limits_),
       retry_budget_({settings.bounds.retry_ratio * retry_budget_share, 0}), next_report_(now),
       next_queue_pass_(now), random_(settings.seed) {
     update_retry_budget();
@@ -196,6 +198,8 @@
         fair_share_.update(now);
         log_worst_served_account();
         placement_.update(now);
+        limits_.set_fleet_size(fleet_size());
+        limits_.update(now);
         update_retry_budget();
         const base::vm_id previous_delegate = delegation_.needed() ? delegation_.delegate() : base::vm_id();
         delegation_.update(members_.members(), now);
@@ -204,8 +208,7 @@
                             {{"from", previous_delegate.value()}, {"to", delegation_.delegate().value()}});
             // The new delegate reports the work of the others; if it is this router, they report to it.
             for (const base::vm_id& peer : members_.live()) {
-                placement_.drop_peer(peer);
-                fair_share_.drop_peer(peer);
+                drop_peer(peer);
             }
         }
         update_follow_orders();
@@ -213,6 +216,7 @@
         update_blocks();
         send_crash_news();
         send_report();
+        send_limits();
         next_report_ = now + bounds_.report_interval;
     }
     if (now >= next_queue_pass_) {
@@ -318,6 +322,7 @@
     created.cost = created.needs_engine ? model_request_cost(request.prompt) : base::cost(plain_request_cost);
     created.memory_tokens = request.prompt.prompt_tokens + expected_output(request.prompt);
     retry_budget_.count_first_attempt(created.pool, now_);
+    limits_.record_request(created.pool, now_);
     if (drain_started_ && now_ - *drain_started_ > settings_.drain_accept_time) {
         return end_session(created, 503, error_code::draining, std::chrono::milliseconds(100));
     }
@@ -453,8 +458,13 @@
                                   : request.needs_engine ? engine_sample_size
                                                          : plain_sample_size;
     const std::optional<placement_choice> choice = placement_.choose(placement_needs, now_);
-    if (!choice || !admit(request, *choice)) {
-        request.limit = choice ? placement_limit::delay : placement_limit::capacity;
+    if (!choice) {
+        request.limit =
+            limits_.holds_back(request.pool, now_) ? placement_limit::stated : placement_limit::capacity;
+        return false;
+    }
+    if (!admit(request, *choice)) {
+        request.limit = placement_limit::delay;
         return false;
     }
     start_attempt(request, *choice);
@@ -587,6 +597,14 @@
     }
 }
 
+void dispatcher::on(const upstream_stated& stated) {
+    if (stated.statement.malformed) {
+        base::log_event(log_level::warning, "dispatcher", "malformed_statement",
+                        {{"upstream", stated.upstream.value()}});
+    }
+    limits_.record_statement(stated.upstream, stated.started_ms, stated.statement.request_limit, now_);
+}
+
 void dispatcher::release_placed_work(session& request) {
     if (request.placed.running > 0) {
         placement_.record_finished(request.target, std::exchange(request.placed, {}), request.prompt);
@@ -804,6 +822,7 @@
         }
     }
     placement_.set_roster(roster_);
+    limits_.set_roster(roster_);
     queue_changed_ = true;
 }
 
@@ -817,8 +836,7 @@
         base::log_event(log_level::info, "dispatcher", "member_changed",
                         {{"vm", change.vm.value()}, {"kind", decision::to_string(change.kind)}});
         if (change.kind != decision::member_change_kind::joined) {
-            placement_.drop_peer(change.vm);
-            fair_share_.drop_peer(change.vm);
+            drop_peer(change.vm);
         }
         if (change.kind != decision::member_change_kind::left) {
             inform_newcomer(change.vm);
@@ -832,9 +850,17 @@
     } else if (const decision::crash_news* const news =
                    std::get_if<decision::crash_news>(&received.payload.body)) {
         receive_crash_news(*news);
+    } else if (std::holds_alternative<decision::limit_report>(received.payload.body)) {
+        receive_limits(received.payload);
     }
 }
 
+void dispatcher::drop_peer(const base::vm_id& peer) {
+    placement_.drop_peer(peer);
+    fair_share_.drop_peer(peer);
+    limits_.drop_peer(peer);
+}
+
 /// Records that `version` was confirmed to be the newest one at `confirmed_at`; pending until this router has
 /// that version.
 void dispatcher::confirm_version(base::revision version, base::time_point confirmed_at) {
@@ -946,6 +972,7 @@
         make_value("age_ms", catalogue_confirmed_at_ ? to_ms(now - *catalogue_confirmed_at_) : -1));
     view.values.push_back(make_value("members", static_cast<double>(members_.live().size())));
     view.values.push_back(make_value("upstreams", static_cast<double>(roster_.entries().size())));
+    view.values.push_back(make_value("limited_upstreams", static_cast<double>(limits_.count())));
     view.values.push_back(make_value("pressure", fair_share_.pressure()));
     const std::optional<worst_served_account> worst = fair_share_.worst_served(now);
     view.values.push_back(make_value("worst_share", worst ? worst->share : 1));
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -79,6 +79,7 @@
         capacity, ///< the best upstream has no slot or memory left for it
         delay,    ///< its first event would come too late
         service,  ///< its account is too far ahead of a backlogged one
+        stated,   ///< upstreams take no more requests now, by limits that they state
     };
     static std::string_view to_string(placement_limit value);
     /// A request from its arrival to its end.
@@ -133,6 +134,7 @@
     void on(const requests_refused& refused);
     void on(const caller_left& departure);
     void on(const answer_started& start);
+    void on(const upstream_stated& stated);
     void on(const attempt_finished& attempt);
     void on(const catalogue_read& reading);
     void on(const roster_read& reading);
@@ -177,8 +179,13 @@
     void log_worst_served_account();
     void send_report();
     void send_aggregated_reports();
+    void send_limits();
     void send_to(const base::vm_id& to, decision::message body);
     void receive_report(const decision::envelope& received);
+    void receive_limits(const decision::envelope& received);
+    /// Returns true if the sender is not one whose aggregated reports this router takes.
+    [[nodiscard]] bool foreign_aggregate(const base::vm_id& from, bool aggregated) const;
+    void drop_peer(const base::vm_id& peer);
     void confirm_version(base::revision version, base::time_point confirmed_at);
     void update_follow_orders();
     [[nodiscard]] base::duration view_age() const;
@@ -216,6 +223,7 @@
     base::time_point next_aggregated_report_;
     base::time_point next_share_line_;
     roster roster_;
+    request_limits limits_;
     placement placement_;
     fair_share fair_share_;
     decision::retry_budget retry_budget_;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -96,6 +96,28 @@
     std::uint32_t attempt = 0;
 };
 
+/// What an upstream states about itself in the head of an answer.
+struct upstream_statement {
+    /// Requests that it takes from all routers together; empty if it states no limit.
+    std::optional<base::request_rate> request_limit;
+    /// A field was not readable and counts as missing.
+    bool malformed = false;
+
+    [[nodiscard]] bool empty() const { return !request_limit && !malformed; }
+    friend bool operator==(const upstream_statement& a, const upstream_statement& b) {
+        return a.request_limit == b.request_limit && a.malformed == b.malformed;
+    }
+};
+
+/// An upstream has changed its statement, or has repeated one that is not empty. Repetitions are reported
+/// from time to time only.
+struct upstream_stated {
+    base::upstream_id upstream;
+    /// Start time of the upstream process that the request was meant for.
+    std::int64_t started_ms = 0;
+    upstream_statement statement;
+};
+
 /// An attempt has ended.
 struct attempt_finished {
     session_id id;
@@ -161,10 +183,10 @@
 /// The relay accepts connections and has no request in progress; those that it had before are lost.
 struct relay_started {};
 
-using event =
-    std::variant<relay_started, dispatcher_bounds, request_read, requests_refused, caller_left,
-                 answer_started, attempt_finished, catalogue_read, roster_read, roster_changed, peers_read,
-                 decision::message_received, decision::drain_requested, decision::report_requested>;
+using event = std::variant<relay_started, dispatcher_bounds, request_read, requests_refused, caller_left,
+                           answer_started, upstream_stated, attempt_finished, catalogue_read, roster_read,
+                           roster_changed, peers_read, decision::message_received, decision::drain_requested,
+                           decision::report_requested>;
 
 // Commands that the dispatcher issues to the relay and to the followers of the store.
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -494,7 +494,7 @@
         const upstream_entry& entry = *ready[i].entry;
         const upstream_state& state = *ready[i].state;
         if ((request.excluded != nullptr && request.excluded->count(entry.id) != 0) ||
-            now < state.down_until) {
+            now < state.down_until || !limits_.may_send(entry.id, now)) {
             continue;
         }
         if (engine == nullptr &&
@@ -541,6 +541,7 @@
 
 void placement::record_sent(const placement_choice& choice, const placed_work& work,
                             const prompt_info& prompt) {
+    limits_.record_sent(choice.upstream);
     upstream_state& state = states_[choice.upstream];
     state.own += work;
     unreported_tokens_ += work.pending_tokens;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -6,6 +6,7 @@
 #include "dispatch/catalogue.h"
 #include "dispatch/engine.h"
 #include "dispatch/event.h"
+#include "dispatch/limits.h"
 #include "dispatch/roster.h"
 
 #include <map>
@@ -73,8 +74,9 @@
 class placement {
 public:
     /// `data_centre` is that of this router; its upstreams are preferred.
-    placement(base::data_centre_id data_centre, std::uint64_t seed)
-        : data_centre_(std::move(data_centre)), random_(seed) {}
+    /// `limits` outlives the placement.
+    placement(base::data_centre_id data_centre, std::uint64_t seed, request_limits& limits)
+        : data_centre_(std::move(data_centre)), random_(seed), limits_(limits) {}
 
     /// Pre-condition: `value` is not null.
     void set_catalogue(catalogue_ptr value);
@@ -191,6 +193,7 @@
 
     const base::data_centre_id data_centre_;
     std::mt19937_64 random_;
+    request_limits& limits_;
     catalogue_ptr catalogue_;
     std::map<base::upstream_id, upstream_entry> entries_;
     std::map<base::pool_id, std::vector<candidate>> ready_;
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -689,6 +689,38 @@
     }
 }
 
+void write(output_archive& out, const decision::limit_report& body) {
+    write_list(out, body.limits, [&out](const decision::stated_limit& stated) {
+        write(out, stated.upstream);
+        write(out, static_cast<std::uint64_t>(stated.started_ms));
+        write(out, stated.limit);
+        write_age(out, stated.age);
+    });
+    write_list(out, body.demands, [&out](const decision::pool_demand& demand) {
+        write(out, demand.pool);
+        write(out, demand.requests);
+    });
+    write(out, std::uint64_t{body.routers});
+    write(out, body.aggregated);
+}
+
+void read(input_archive& in, decision::limit_report& body) {
+    read_list(in, body.limits, max_list_entries, [&in](decision::stated_limit& stated) {
+        read(in, stated.upstream);
+        std::uint64_t started_ms = 0;
+        read(in, started_ms);
+        stated.started_ms = static_cast<std::int64_t>(started_ms);
+        read(in, stated.limit);
+        read_age(in, stated.age);
+    });
+    read_list(in, body.demands, max_list_entries, [&in](decision::pool_demand& demand) {
+        read(in, demand.pool);
+        read(in, demand.requests);
+    });
+    body.routers = read_bounded<std::uint32_t>(in);
+    read(in, body.aggregated);
+}
+
 void write(output_archive& out, const decision::crash_news& body) {
     write_list(out, body.crashes, [&out](const decision::upstream_crash& crash) {
         write(out, crash.upstream);
@@ -856,6 +888,13 @@
         rest_ = std::move(rest);
         return divided;
     }
+    bool operator()(decision::limit_report& body) const {
+        decision::limit_report rest{split_half(body.limits), split_half(body.demands), body.routers,
+                                    body.aggregated};
+        const bool divided = !rest.limits.empty() || !rest.demands.empty();
+        rest_ = std::move(rest);
+        return divided;
+    }
     template <typename Other>
     bool operator()(Other& /*body*/) const {
         return false;
@@ -879,9 +918,9 @@
 
 std::string_view message_kind_name(std::size_t kind) {
     constexpr std::array<std::string_view, message_kind_count> names{
-        "ping",    "ack",        "ping_request", "bid",         "grant",
-        "release", "usage",      "usage_total",  "claim",       "claim_result",
-        "settle",  "settle_ack", "crash_report", "work_report", "crash_news"};
+        "ping",         "ack",         "ping_request", "bid",          "grant",  "release",
+        "usage",        "usage_total", "claim",        "claim_result", "settle", "settle_ack",
+        "crash_report", "work_report", "crash_news",   "limit_report"};
     return names.at(kind);
 }
 
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -54,6 +54,7 @@
     std::optional<dispatch::load_report> load;
     /// How long the upstream keeps an idle connection open, if stated.
     std::optional<base::duration> idle_timeout;
+    dispatch::upstream_statement statement;
 };
 
 /// Translates between HTTP messages of callers and upstreams and the types of the relay. Only implementations
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -24,6 +24,8 @@
 constexpr base::duration removal_interval = std::chrono::milliseconds(20);
 /// Interval of the reports on refused requests; each costs a wake-up of the dispatcher.
 constexpr base::duration refusal_report_interval = std::chrono::milliseconds(100);
+/// Interval at which a repeated statement of an upstream is reported again.
+constexpr base::duration statement_report_interval = std::chrono::milliseconds(250);
 constexpr std::string_view event_stream_type = "text/event-stream";
 constexpr int success_status_class = 2;
 constexpr int first_server_error_status = 500;
@@ -50,6 +52,7 @@
         links_.clear();
         server_.reset();
         pending_events_.clear();
+        statements_.clear();
         body_bytes_ = 0;
     });
     server_ = std::make_unique<server>(settings_.listen_address, settings_.max_callers, loop_,
@@ -347,6 +350,9 @@
     if (info.request_id ? *info.request_id != session->request.caller_request_id : success) {
         return false;
     }
+    if (!info.misdirected && (info.from_upstream || info.not_run)) {
+        report_statement(session->command.target, info.statement);
+    }
     if (info.idle_timeout) {
         connection.set_idle_timeout(*info.idle_timeout);
     }
@@ -363,6 +369,25 @@
     return true;
 }
 
+void relay::report_statement(const dispatch::upstream_entry& upstream,
+                             const dispatch::upstream_statement& statement) {
+    const base::time_point now = clock_.now();
+    const auto last = statements_.find(upstream.id);
+    if (last == statements_.end() && statement.empty()) {
+        return;
+    }
+    if (last != statements_.end() && last->second.started_ms == upstream.started_ms &&
+        last->second.statement == statement && now < last->second.reported_at + statement_report_interval) {
+        return;
+    }
+    if (statement.empty()) {
+        statements_.erase(last);
+    } else {
+        statements_[upstream.id] = {upstream.started_ms, statement, now};
+    }
+    push_event(dispatch::upstream_stated{upstream.id, upstream.started_ms, statement});
+}
+
 void relay::begin_stream(exchange& session) {
     session.head_sent = true;
     session.caller_connection->begin_answer(session.answer_head.status,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -122,6 +122,9 @@
     void deliver_buffered(exchange& session);
     /// Reports to the dispatcher, and once to the metrics, that the caller gets the first part of an answer.
     void report_answer_started(exchange& session);
+    /// Reports to the dispatcher what an upstream states about itself, if that is news.
+    void report_statement(const dispatch::upstream_entry& upstream,
+                          const dispatch::upstream_statement& statement);
     /// Reports the end of the current attempt to the dispatcher.
     void report_attempt_finished(exchange& session, dispatch::attempt_outcome outcome);
     /// Removes the exchange. An attempt in progress is cancelled by closing its connection.
@@ -168,6 +171,14 @@
     bool was_draining_ = false;
     saturation saturation_;
     std::atomic<bool> overloaded_{false};
+    /// Last report of what an upstream states about itself.
+    struct reported_statement {
+        std::int64_t started_ms = 0;
+        dispatch::upstream_statement statement;
+        base::time_point reported_at;
+    };
+    /// Upstreams whose last statement was not empty.
+    std::map<base::upstream_id, reported_statement> statements_;
     dispatch::requests_refused refused_;
     base::time_point next_refusal_report_;
     base::time_point next_removal_;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -80,7 +80,12 @@
                                   true,
                                   41,
                                   90210},
-            news};
+            news,
+            decision::limit_report{
+                {{upstream, 1'780'000'000'000, base::request_rate(4.9), std::chrono::milliseconds(40)}},
+                {{pool, 310.5}},
+                12,
+                true}};
 }
 
 /// Visitor that checks that the enumerators of a message are in range.
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -288,7 +288,8 @@
     CHECK(pressure() == Approx(4).epsilon(0.1));
 }
 
-TEST_CASE("an account that nothing can serve holds the others back to no less than half of their stated share") {
+TEST_CASE(
+    "an account that nothing can serve holds the others back to no less than half of their stated share") {
     const base::time_point now(std::chrono::hours(1));
     const base::time_point later = now + fair_share::catch_up_time;
     const base::client_account_id starved("starved");
@@ -399,7 +400,8 @@
 }
 
 TEST_CASE("a part that a running request uses stays cached, and ages from the end of the request") {
-    placement engines(base::data_centre_id("x"), 1);
+    request_limits limits(1);
+    placement engines(base::data_centre_id("x"), 1, limits);
     engines.set_catalogue(make_catalogue(1));
     roster list;
     list.replace({make_upstream("m1", model_pool, 10)}, false, base::time_point());
@@ -914,3 +916,136 @@
     CHECK(served["key-b"] > 0);
     CHECK(served["key-b"] >= served["key-a"] / 2);
 }
+
+TEST_CASE("a limit that an upstream states holds for all routers together, however uneven their demand") {
+    constexpr std::size_t routers = 9;
+    const base::time_point start(std::chrono::hours(1));
+    const upstream_entry upstream = make_upstream("m1", model_pool, 10);
+    roster list;
+    list.replace({upstream}, false, start);
+    std::vector<request_limits> fleet;
+    for (std::size_t i = 0; i < routers; ++i) {
+        fleet.emplace_back(i + 1);
+        fleet.back().set_roster(list);
+        fleet.back().set_fleet_size(routers);
+    }
+    constexpr double limit = 5;
+    std::vector<base::time_point> sent;
+    // Every 10 ms the first router has two requests, the others one each per 100 ms; all for one upstream.
+    for (int step = 0; step < 1200; ++step) {
+        const base::time_point now = start + milliseconds(10) * step;
+        for (std::size_t i = 0; i < routers; ++i) {
+            const int demand = i == 0 ? 2 : (step % 10 == 0 ? 1 : 0);
+            for (int request = 0; request < demand; ++request) {
+                fleet[i].record_request(model_pool, now);
+                if (fleet[i].may_send(upstream.id, now)) {
+                    fleet[i].record_sent(upstream.id);
+                    sent.push_back(now);
+                    fleet[i].record_statement(upstream.id, 0, base::request_rate(limit), now);
+                }
+            }
+        }
+        if (step % 10 == 0) {
+            for (std::size_t from = 0; from < routers; ++from) {
+                const decision::limit_report report = fleet[from].own_report(now);
+                for (std::size_t to = 0; to < routers; ++to) {
+                    if (to != from) {
+                        fleet[to].receive_report(base::vm_id("r" + std::to_string(from)), report, now);
+                    }
+                }
+                fleet[from].update(now);
+            }
+        }
+    }
+    const auto within = [&](base::time_point from) {
+        return std::count_if(sent.begin(), sent.end(),
+                             [&](base::time_point at) { return at >= from && at < from + seconds(4); });
+    };
+    for (int ms = 1000; ms <= 8000; ms += 100) {
+        const auto count = static_cast<double>(within(start + milliseconds(ms)));
+        CHECK(count <= limit * 4 * 1.5 + 5);
+        CHECK(count >= limit * 4 / 2);
+    }
+}
+
+TEST_CASE("routers that have not reported yet count as average ones in the division of a limit") {
+    base::time_point now(std::chrono::hours(1));
+    const upstream_entry upstream = make_upstream("m1", model_pool, 10);
+    roster list;
+    list.replace({upstream}, false, now);
+    request_limits limits(1);
+    limits.set_roster(list);
+    limits.set_fleet_size(40);
+    limits.record_statement(upstream.id, 0, base::request_rate(100), now);
+    // This router and one of 39 others are known; both have ten requests in the decay time.
+    for (int i = 0; i < 10; ++i) {
+        limits.record_request(model_pool, now);
+    }
+    limits.receive_report(base::vm_id("r2"), {{}, {{model_pool, 10}}, 1, false}, now);
+    limits.update(now);
+    int sent = 0;
+    for (int step = 0; step < 50; ++step) {
+        now += milliseconds(20);
+        while (limits.may_send(upstream.id, now)) {
+            limits.record_sent(upstream.id);
+            ++sent;
+        }
+    }
+    // A fortieth of 100 a second, and the part of a request that the router began with.
+    CHECK(sent >= 2);
+    CHECK(sent <= 3);
+}
+
+TEST_CASE("a limit ends with an answer that states none, with a restart, and after a silence") {
+    base::time_point now(std::chrono::hours(1));
+    upstream_entry upstream = make_upstream("m1", model_pool, 10);
+    roster list;
+    list.replace({upstream}, false, now);
+    request_limits limits(1);
+    limits.set_roster(list);
+    limits.record_statement(upstream.id, 0, base::request_rate(0), now);
+    REQUIRE_FALSE(limits.may_send(upstream.id, now));
+    SECTION("an answer without a limit may be older than the statement") {
+        limits.record_statement(upstream.id, 0, std::nullopt, now + milliseconds(10));
+        limits.update(now + milliseconds(20));
+        CHECK_FALSE(limits.may_send(upstream.id, now + milliseconds(20)));
+        limits.update(now + request_limits::hold_time);
+        CHECK(limits.may_send(upstream.id, now + request_limits::hold_time));
+    }
+    SECTION("a restarted upstream owes nothing to the statement of the earlier process") {
+        upstream.started_ms = 7;
+        list.replace({upstream}, false, now);
+        limits.set_roster(list);
+        CHECK(limits.may_send(upstream.id, now));
+        limits.record_statement(upstream.id, 0, base::request_rate(0), now);
+        CHECK(limits.may_send(upstream.id, now));
+    }
+    SECTION("a limit that is not stated any more") {
+        now += request_limits::max_silence;
+        limits.update(now);
+        CHECK_FALSE(limits.may_send(upstream.id, now));
+        limits.update(now + milliseconds(1));
+        CHECK(limits.may_send(upstream.id, now + milliseconds(1)));
+    }
+    SECTION("a report of a peer on an earlier statement does not renew it") {
+        limits.record_statement(upstream.id, 0, std::nullopt, now + milliseconds(10));
+        now += request_limits::hold_time;
+        limits.update(now);
+        limits.receive_report(
+            base::vm_id("r2"),
+            {{{upstream.id, 0, base::request_rate(0), request_limits::hold_time}}, {}, 1, false}, now);
+        CHECK(limits.may_send(upstream.id, now));
+    }
+}
+
+TEST_CASE("requests wait for an upstream that states a limit, and are refused if they waited too long") {
+    dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
+    router.handle(upstream_stated{base::upstream_id("m1"), 0, {base::request_rate(0), false}});
+    const session_id id = router.request("/text/1", "key-a");
+    router.advance(milliseconds(100));
+    CHECK(router.sent(id) == nullptr);
+    router.advance(milliseconds(100));
+    REQUIRE(router.ended(id) != nullptr);
+    CHECK(router.ended(id)->status == 503);
+    CHECK(router.ended(id)->retry_after);
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -322,6 +322,39 @@
     CHECK(contains(caller.read_answer(), "done"));
 }
 
+TEST_CASE("an upstream's limit of its request rate is taken from any answer and is not passed on") {
+    const platform::dialect dialect;
+    http::response_head head;
+    const auto stated = [&](const std::string& value) {
+        head.fields = {{"Server-Limit", value}};
+        return dialect.read_answer(head).statement;
+    };
+    CHECK(stated("4.9").request_limit == base::request_rate(4.9));
+    CHECK(stated("0").request_limit == base::request_rate(0));
+    for (const char* const malformed : {"", "-1", "nan", "inf", "1e999", "5/s", "five"}) {
+        CHECK_FALSE(stated(malformed).request_limit);
+        CHECK(stated(malformed).malformed);
+    }
+    CHECK(dialect.answer_fields(head).empty());
+
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/look/1", "t1"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    // Both upstreams take no request any more; the first one says so in a refusal.
+    first.send("HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nServer-Limit: 0\r\nContent-Length: 0\r\n\r\n");
+    wire second = router.accept_any_upstream();
+    second.read_request();
+    second.send(ok_answer("t1", "done", "Server-Limit: 0\r\n"));
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "done"));
+    CHECK_FALSE(contains(answer, "Server-Limit"));
+    std::this_thread::sleep_for(milliseconds(50));
+    caller.send(request("/look/2", "t2"));
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 503"));
+}
+
 TEST_CASE("an answer that arrives before the whole request was sent is forwarded") {
     router_fixture router;
     wire caller = router.connect_caller();
