Take an answer without an id only as the first one on its connection

Refusals with another request's id were skipped, but one without an id was taken for the answer to whatever request the connection carried: a 503 was passed on or the request was sent elsewhere, a 421 likewise. The class: a message that is assigned by its position in a stream whose positions are not reliable.

Now an answer without an id counts only if its request is the first one on the connection, where nothing else can have been repeated; otherwise it is skipped, and the answer to the request may follow. A caller's request without an id gets a connection of its own, so that a 400 that an upstream gives it is still passed on.

--- a/src/relay/link.cpp
+++ b/src/relay/link.cpp
@@ -55,6 +55,7 @@
 
 void link::start(dispatch::session_id request, std::string bytes, bool expect_body, link_listener& listener) {
     request_ = request;
+    ++requests_;
     listener_ = &listener;
     send_buffer_ = std::move(bytes);
     sent_bytes_ = 0;
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -86,6 +86,8 @@
     [[nodiscard]] bool usable(bool must_not_repeat, base::time_point now) const;
     /// Returns the id of the current or the last request.
     [[nodiscard]] dispatch::session_id request() const { return request_; }
+    /// Returns true if the current request is the first one on this connection.
+    [[nodiscard]] bool first_request() const { return requests_ == 1; }
     [[nodiscard]] const base::upstream_id& upstream() const { return upstream_; }
     [[nodiscard]] const decision::endpoint& address() const { return address_; }
 
@@ -111,6 +113,8 @@
     http::descriptor socket_;
     link_listener* listener_ = nullptr;
     dispatch::session_id request_;
+    /// Number of requests that were started on this connection.
+    std::uint64_t requests_ = 0;
     http::response_parser parser_;
     std::string send_buffer_;
     std::string parsed_body_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -230,7 +230,10 @@
     }
 }
 
-link* relay::connection_for(const dispatch::send_request& command) {
+link* relay::connection_for(const exchange& session) {
+    const dispatch::send_request& command = session.command;
+    // On a connection of its own, an answer without an id can only belong to this request.
+    const bool may_reuse = !session.request.caller_request_id.empty();
     std::vector<std::unique_ptr<link>>& links = links_[command.target.id];
     const base::time_point now = clock_.now();
     std::size_t open = 0;
@@ -243,7 +246,7 @@
         if ((*candidate)->address() != command.target.address) {
             continue;
         }
-        if ((*candidate)->usable(!command.repeatable, now)) {
+        if (may_reuse && (*candidate)->usable(!command.repeatable, now)) {
             return candidate->get();
         }
         if ((*candidate)->idle()) {
@@ -294,7 +297,7 @@
     session->attempt_body_started = false;
     session->longest_pause = {};
     session->splitter.drop_partial();
-    link* const upstream_link = connection_for(command);
+    link* const upstream_link = connection_for(*session);
     if (upstream_link == nullptr) {
         return report_attempt_finished(*session, attempt_outcome::unsent);
     }
@@ -347,7 +350,7 @@
     }
     answer_info info = dialect_.read_answer(head);
     const bool success = head.status / 100 == success_status_class;
-    if (info.request_id ? *info.request_id != session->request.caller_request_id : success) {
+    if (!answers_request(connection, *session, info, success)) {
         return false;
     }
     if (!info.misdirected && (info.from_upstream || info.not_run)) {
@@ -369,6 +372,13 @@
     return true;
 }
 
+/// Without an id, an answer on a connection that was used before may be a repeated one to an earlier request.
+bool relay::answers_request(const link& connection, const exchange& session, const answer_info& info,
+                            bool success) {
+    return info.request_id ? *info.request_id == session.request.caller_request_id
+                           : !success && connection.first_request();
+}
+
 void relay::report_statement(const dispatch::upstream_entry& upstream,
                              const dispatch::upstream_statement& statement) {
     const base::time_point now = clock_.now();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -106,9 +106,12 @@
     void execute(const dispatch::release_answer& command);
     void execute(const dispatch::end_request& command);
     void execute(const dispatch::retire_upstream& command);
-    /// Returns a usable or a new connection to the target of the command; null if the limit of connections is
-    /// reached or the connect fails at once.
-    link* connection_for(const dispatch::send_request& command);
+    /// Returns a usable or a new connection to the target of the exchange; null if the limit of connections
+    /// is reached or the connect fails at once.
+    link* connection_for(const exchange& session);
+    /// Returns true if the answer is one to the current request of the connection.
+    [[nodiscard]] static bool answers_request(const link& connection, const exchange& session,
+                                              const answer_info& info, bool success);
     [[nodiscard]] std::string request_text(const exchange& session) const;
     /// Sends the head of a streamed answer to the caller.
     void begin_stream(exchange& session);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -46,11 +46,12 @@
            "\r\nX-Deadline-Ms: 5000\r\n" + extra_fields + "\r\n";
 }
 
-/// A relay and a dispatcher under a supervisor as in a router, with two upstreams that the test plays.
+/// A relay and a dispatcher under a supervisor as in a router, with up to two upstreams that the test plays.
 class router_fixture {
 public:
-    explicit router_fixture(std::size_t max_callers = 1000)
-        : events_(1024), commands_(1024), datagrams_(64), port_(free_port()),
+    explicit router_fixture(std::size_t max_callers = 1000, std::size_t listed_upstreams = 2)
+        : listed_upstreams_(listed_upstreams), events_(1024), commands_(1024), datagrams_(64),
+          port_(free_port()),
           supervisor_("test", base::restart_strategy::one_for_one, {0, seconds(1)}, clock_) {
         dispatch::dispatcher_settings decision_settings;
         decision_settings.member.self = base::vm_id("r1");
@@ -135,7 +136,7 @@
         catalogue->index();
         events_.push(dispatch::catalogue_read{catalogue, clock_.now()}, seconds(1));
         dispatch::roster_read roster;
-        for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+        for (std::size_t i = 0; i < listed_upstreams_; ++i) {
             dispatch::upstream_entry entry;
             entry.id = base::upstream_id("u" + std::to_string(i));
             entry.pool = pool;
@@ -154,6 +155,7 @@
         FAIL("the router did not become ready");
     }
 
+    const std::size_t listed_upstreams_;
     base::boot_clock clock_;
     base::metrics metrics_;
     platform::dialect dialect_;
@@ -262,6 +264,44 @@
     CHECK(contains(caller.read_answer(), "two"));
 }
 
+TEST_CASE("an earlier refusal that is repeated on a kept connection is not taken for the answer") {
+    router_fixture router(1000, 1);
+    wire caller = router.connect_caller();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    upstream.send(ok_answer("t1", "one", "Keep-Alive: timeout=9\r\n"));
+    CHECK(contains(caller.read_answer(), "one"));
+    caller.send(request("/order/2", "t2", "Content-Length: 0\r\n", "POST"));
+    REQUIRE(contains(upstream.read_request(), "/order/2"));
+    const bool misdirected = GENERATE(true, false);
+    const std::string status = misdirected ? "421 Misdirected" : "503 No";
+    upstream.send("HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    if (GENERATE(true, false)) {
+        std::this_thread::sleep_for(milliseconds(50));
+        upstream.send(ok_answer("t2", "two"));
+        CHECK(contains(caller.read_answer(), "two"));
+    } else {
+        upstream.close();
+        CHECK(contains(caller.read_answer(), "HTTP/1.1 502"));
+    }
+}
+
+TEST_CASE("a request without an id gets a connection of its own, so that an answer without one is its own") {
+    router_fixture router(1000, 1);
+    wire caller = router.connect_caller();
+    caller.send(request("/look/1", "t1"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    first.send(ok_answer("t1", "one", "Keep-Alive: timeout=9\r\n"));
+    CHECK(contains(caller.read_answer(), "one"));
+    caller.send("GET /look/2 HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 5000\r\n\r\n");
+    wire second = router.accept_any_upstream();
+    second.read_request();
+    second.send("HTTP/1.1 400 No id\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n");
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 400"));
+}
+
 TEST_CASE("a truncated answer to a safe request is replaced by a second attempt") {
     router_fixture router;
     wire caller = router.connect_caller();
