Keep answers that are no event stream out of a stream that is continued

Errors by status could not get there: they are held back, and the stream is cut. But a 200 that is no event stream was joined to the stream, its text as an event, and its end was passed on as the end of the stream. Now such an answer is held back like an error when the caller already has a part of the stream, and the stream is cut.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -365,7 +365,9 @@
     const bool resumed = session->head_sent;
     const bool refused = session->answer.not_run || session->answer.misdirected;
     // The body of a stream is forwarded as it arrives; other answers are buffered until they are complete.
-    session->buffering = refused || !session->command.streaming || !success || !session->answer.from_upstream;
+    // So is an answer that cannot be joined to the stream that the caller already has.
+    session->buffering = refused || !session->command.streaming || !success ||
+                         !session->answer.from_upstream || (resumed && !carries_events(*session));
     if (!session->buffering && !resumed) {
         begin_stream(*session);
     }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -547,6 +547,53 @@
     CHECK(rest.find("id: 2") == rest.rfind("id: 2"));
 }
 
+TEST_CASE("an error that answers the continuation of a stream stays out of the stream and cuts it") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/long/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    first.send(stream_head("t1") + chunk("id: 1\ndata: a\n\n"));
+    caller.read_until([](const std::string& text) { return contains(text, "data: a\n\n"); });
+    first.reset();
+    wire second = router.accept_any_upstream();
+    second.read_request();
+    const std::string mark = "X-Attempt-Id: t1\r\nX-Response-Seal: s\r\n";
+    const std::string text = "error text\n\n";
+    const std::string length = "Content-Length: " + std::to_string(text.size()) + "\r\n";
+    std::string answer;
+    SECTION("with a length") {
+        answer = "HTTP/1.1 500 Failed\r\n" + mark + length + "\r\n" + text;
+    }
+    SECTION("with neither a length nor chunks") {
+        answer = "HTTP/1.1 500 Failed\r\n" + mark + "\r\n" + text;
+    }
+    SECTION("in chunks, as a stream") {
+        answer = "HTTP/1.1 500 Failed\r\n" + mark +
+                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(text) +
+                 "0\r\n\r\n";
+    }
+    SECTION("without the mark of an upstream") {
+        answer = "HTTP/1.1 500 Failed\r\n" + length + "\r\n" + text;
+    }
+    SECTION("as not run") {
+        answer = "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n" + mark + length + "\r\n" + text;
+    }
+    SECTION("as a success that is no stream") {
+        answer = "HTTP/1.1 200 OK\r\n" + mark + "Content-Type: text/plain\r\n" + length + "\r\n" + text;
+    }
+    SECTION("broken off in its head") {
+        answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Resp";
+    }
+    second.send(answer);
+    second.close();
+    const std::string rest = caller.read_to_end();
+    CHECK(caller.ended());
+    CHECK_FALSE(contains(rest, "error text"));
+    CHECK_FALSE(contains(rest, "HTTP/1.1"));
+    CHECK_FALSE(contains(rest, "0\r\n\r\n"));
+}
+
 TEST_CASE("the upstream connection is closed when the caller disconnects, before or after the first event") {
     router_fixture router;
     wire caller = router.connect_caller();
