Test that an answer which ends inside its head is no answer, on both data paths

It does not happen here: the relay reports an answer only when its head is complete, and takes the end of the connection for the end of a body only after that; bluebelld's transport fails such a call. Nothing covered it. relay_test: four truncated heads (one after an interim answer) on three kinds of routes become 502. transport_test: no answer begins, and the attempt is interrupted.

--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -594,6 +594,25 @@
     CHECK_FALSE(contains(rest, "0\r\n\r\n"));
 }
 
+TEST_CASE("an answer that ends inside its head is no answer") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    const std::string path = GENERATE(as<std::string>(), "/order/1", "/text/1", "/long/1");
+    caller.send(request(path, "t1", "Content-Length: 0\r\n", "POST"));
+    const std::string head = GENERATE(
+        as<std::string>(), "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n\r");
+    // A stream that may be resumed is sent to a second upstream.
+    for (int attempt = 0; attempt < (path == "/long/1" ? 2 : 1); ++attempt) {
+        wire upstream = router.accept_any_upstream();
+        upstream.read_request();
+        upstream.send(head);
+        upstream.close();
+    }
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 502"));
+}
+
 TEST_CASE("the upstream connection is closed when the caller disconnects, before or after the first event") {
     router_fixture router;
     wire caller = router.connect_caller();
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -3,6 +3,7 @@
 #include "standin/model.h"
 #include "upstream/load.h"
 #include "upstream/transport.h"
+#include "wire.h"
 
 #include <catch2/catch.hpp>
 #include <condition_variable>
@@ -294,6 +295,19 @@
     CHECK(engine.runs(chat("poison")) == 0);
 }
 
+TEST_CASE("an answer that ends inside its head begins no answer and is reported as interrupted") {
+    bluebell::tests::fake_server server;
+    transport_fixture fixture;
+    const std::shared_ptr<recording_exchange> exchange = std::make_shared<recording_exchange>(chat("a"));
+    fixture.push(fixture.dispatch_to({"127.0.0.1", server.port()}, exchange, 1));
+    bluebell::tests::wire upstream = server.accept();
+    upstream.read_request();
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+    upstream.close();
+    CHECK(fixture.next_end().result.status == attempt_status::interrupted);
+    CHECK(exchange->head_count() == 0);
+}
+
 TEST_CASE("a silent upstream ends the attempt at its time limit and the connection is not reused") {
     standin::engine engine({});
     engine.start();
