Send nothing new to an upstream that says in an answer that it leaves

Callers whose requests reach it later are cut when it ends.

The field was not read. It now travels with what upstreams state about themselves, from any answer that belongs to its request, failures, refusals and streams without end too. The roster marks that process of the upstream as draining, by its start time; a listing as ready, an entry that lapses and appears again, or an outage of the store do not take the mark away, a new process under the same id does. Idle connections to it are closed. Peers are not told: the rule binds the router that heard it, and the list tells the others.

Tests: "an upstream that says that it leaves gets nothing new in this process, whatever the list shows" (dispatch_test) and "an upstream that says in any answer that it leaves gets no further request, and its idle connection ends" (relay_test, four kinds of answers); both seen failing with the mark left out.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -602,6 +602,12 @@
         base::log_event(log_level::warning, "dispatcher", "malformed_statement",
                         {{"upstream", stated.upstream.value()}});
     }
+    if (stated.statement.leaving && roster_.mark_leaving(stated.upstream, stated.started_ms)) {
+        ++counters_["stated/leaving"];
+        base::log_event(log_level::info, "dispatcher", "upstream_leaving",
+                        {{"upstream", stated.upstream.value()}});
+        apply_roster();
+    }
     limits_.record_statement(stated.upstream, stated.started_ms, stated.statement.request_limit, now_);
 }
 
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -98,14 +98,16 @@
 
 /// What an upstream states about itself in the head of an answer.
 struct upstream_statement {
+    /// It ends soon and takes no new requests.
+    bool leaving = false;
     /// Requests that it takes from all routers together; empty if it states no limit.
     std::optional<base::request_rate> request_limit;
     /// A field was not readable and counts as missing.
     bool malformed = false;
 
-    [[nodiscard]] bool empty() const { return !request_limit && !malformed; }
+    [[nodiscard]] bool empty() const { return !leaving && !request_limit && !malformed; }
     friend bool operator==(const upstream_statement& a, const upstream_statement& b) {
-        return a.request_limit == b.request_limit && a.malformed == b.malformed;
+        return a.leaving == b.leaving && a.request_limit == b.request_limit && a.malformed == b.malformed;
     }
 };
 
--- a/src/dispatch/roster.cpp
+++ b/src/dispatch/roster.cpp
@@ -15,7 +15,7 @@
         const base::upstream_id id = entry.id;
         listed.insert(id);
         missing_until_.erase(id);
-        entries_[id] = std::move(entry);
+        store(std::move(entry));
     }
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         if (listed.count(entry->first) != 0) {
@@ -35,7 +35,7 @@
     for (const upstream_change& change : changes) {
         if (change.entry) {
             missing_until_.erase(change.id);
-            entries_[change.id] = *change.entry;
+            store(*change.entry);
         } else if (now < grace_end_ && entries_.count(change.id) != 0) {
             missing_until_.emplace(change.id, grace_end_);
         } else {
@@ -46,6 +46,31 @@
     rebuild_ready();
 }
 
+bool roster::mark_leaving(const base::upstream_id& upstream, std::int64_t started_ms) {
+    const auto [marked, added] = leaving_.try_emplace(upstream, started_ms);
+    if (!added && marked->second >= started_ms) {
+        return false;
+    }
+    marked->second = started_ms;
+    const auto entry = entries_.find(upstream);
+    if (entry != entries_.end() && entry->second.started_ms == started_ms) {
+        entry->second.phase = upstream_phase::draining;
+        rebuild_ready();
+    }
+    return true;
+}
+
+/// Adds or replaces an entry.
+void roster::store(upstream_entry entry) {
+    const auto marked = leaving_.find(entry.id);
+    if (marked != leaving_.end() && marked->second == entry.started_ms) {
+        entry.phase = upstream_phase::draining;
+    } else if (marked != leaving_.end() && marked->second < entry.started_ms) {
+        leaving_.erase(marked);
+    }
+    entries_[entry.id] = std::move(entry);
+}
+
 bool roster::expire(base::time_point now) {
     bool dropped = false;
     for (auto lapsed = missing_until_.begin(); lapsed != missing_until_.end();) {
--- a/src/dispatch/roster.h
+++ b/src/dispatch/roster.h
@@ -52,6 +52,9 @@
     void replace(std::vector<upstream_entry> entries, bool after_outage, base::time_point now);
     /// Applies changes in order. Upstreams removed soon after an outage are kept as in `replace`.
     void apply(const std::vector<upstream_change>& changes, base::time_point now);
+    /// Marks an upstream as draining for as long as this process of it runs, whatever phase its entry shows.
+    /// Returns false if it is marked already.
+    bool mark_leaving(const base::upstream_id& upstream, std::int64_t started_ms);
     /// Drops missing entries whose `reentry_time` is over. Returns true if any was dropped.
     bool expire(base::time_point now);
 
@@ -63,11 +66,15 @@
     [[nodiscard]] const upstream_entry* find(const base::upstream_id& id) const;
 
 private:
+    void store(upstream_entry entry);
     void rebuild_ready();
 
     std::map<base::upstream_id, upstream_entry> entries_;
     /// Upstreams that are missing since an outage, and until when their entries are kept.
     std::map<base::upstream_id, base::time_point> missing_until_;
+    /// Start times of the upstreams that said that they leave. Kept while an entry is missing, since it may
+    /// appear again.
+    std::map<base::upstream_id, std::int64_t> leaving_;
     /// Removals before this time may be caused by the outage.
     base::time_point grace_end_;
     std::map<base::pool_id, std::vector<base::upstream_id>> ready_;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -128,6 +128,13 @@
     /// The last order to send a request, and its end; null if there is none.
     const send_request* sent(session_id id) const { return last_of<send_request>(id); }
     const end_request* ended(session_id id) const { return last_of<end_request>(id); }
+    /// Returns true if the idle connections to the upstream are to be closed.
+    [[nodiscard]] bool retired(const base::upstream_id& upstream) const {
+        return std::any_of(orders_.begin(), orders_.end(), [&](const relay_command& command) {
+            const retire_upstream* const order = std::get_if<retire_upstream>(&command);
+            return order != nullptr && order->id == upstream;
+        });
+    }
     const release_answer* released(session_id id) const { return last_of<release_answer>(id); }
     std::size_t sends() const {
         return static_cast<std::size_t>(
@@ -786,6 +793,41 @@
     }
 }
 
+TEST_CASE("an upstream that says that it leaves gets nothing new in this process, whatever the list shows") {
+    dispatcher_fixture router;
+    upstream_entry leaving = make_upstream("p1", plain_pool, 4);
+    const auto gets_work = [&] {
+        bool found = false;
+        for (int i = 0; i < 8; ++i) {
+            const session_id id = router.request("/order/1");
+            REQUIRE(router.sent(id) != nullptr);
+            found = found || router.sent(id)->target.id == leaving.id;
+            router.finish(id, attempt_outcome::delivered);
+        }
+        return found;
+    };
+    REQUIRE(gets_work());
+    router.handle(upstream_stated{leaving.id, 0, {true, std::nullopt, false}});
+    CHECK(router.retired(leaving.id));
+    CHECK_FALSE(gets_work());
+    SECTION("the list still shows it as ready") {
+        router.handle(roster_changed{{{leaving.id, leaving}}, 2, std::nullopt});
+        CHECK_FALSE(gets_work());
+    }
+    SECTION("its entry lapses and appears again") {
+        router.handle(roster_changed{{{leaving.id, std::nullopt}}, 2, std::nullopt});
+        router.handle(roster_changed{{{leaving.id, leaving}}, 3, std::nullopt});
+        CHECK_FALSE(gets_work());
+    }
+    SECTION("a new process under the same id owes nothing to the statement") {
+        leaving.started_ms = 5;
+        router.handle(roster_changed{{{leaving.id, leaving}}, 2, std::nullopt});
+        CHECK(gets_work());
+        router.handle(upstream_stated{leaving.id, 0, {true, std::nullopt, false}});
+        CHECK(gets_work());
+    }
+}
+
 TEST_CASE("a router is not ready before its relay accepts connections") {
     const base::time_point now(std::chrono::hours(1));
     dispatcher router(dispatcher_fixture::settings(), now);
@@ -1040,7 +1082,7 @@
 
 TEST_CASE("requests wait for an upstream that states a limit, and are refused if they waited too long") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
-    router.handle(upstream_stated{base::upstream_id("m1"), 0, {base::request_rate(0), false}});
+    router.handle(upstream_stated{base::upstream_id("m1"), 0, {false, base::request_rate(0), false}});
     const session_id id = router.request("/text/1", "key-a");
     router.advance(milliseconds(100));
     CHECK(router.sent(id) == nullptr);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -395,6 +395,40 @@
     CHECK(contains(caller.read_answer(), "HTTP/1.1 503"));
 }
 
+TEST_CASE("an upstream that says in any answer that it leaves gets no further request, and its idle "
+          "connection ends") {
+    router_fixture router(1000, 1);
+    wire caller = router.connect_caller();
+    const std::string leaving = "Server-Leaving: 1\r\nKeep-Alive: timeout=9\r\n";
+    const std::string mark = "X-Attempt-Id: t1\r\nX-Response-Seal: s\r\n";
+    const bool stream = GENERATE(true, false);
+    caller.send(request(stream ? "/text/1" : "/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    SECTION("a success") {
+        upstream.send("HTTP/1.1 200 OK\r\n" + mark + leaving + "Content-Length: 0\r\n\r\n");
+    }
+    SECTION("a failure") {
+        upstream.send("HTTP/1.1 500 Failed\r\n" + mark + leaving + "Content-Length: 0\r\n\r\n");
+    }
+    SECTION("a refusal") {
+        upstream.send("HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n" + mark + leaving +
+                      "Content-Length: 0\r\n\r\n");
+    }
+    SECTION("an answer whose body never ends, to a caller that leaves") {
+        upstream.send("HTTP/1.1 200 OK\r\n" + mark + leaving + "Transfer-Encoding: chunked\r\n\r\n" +
+                      chunk("id: 1\n\n"));
+        std::this_thread::sleep_for(milliseconds(50));
+        caller.close();
+    }
+    upstream.read_to_end();
+    CHECK(upstream.ended());
+    wire next = router.connect_caller();
+    next.send(request("/order/2", "t2", "Content-Length: 0\r\n", "POST"));
+    CHECK(contains(next.read_answer(), "HTTP/1.1 503"));
+    CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
+}
+
 TEST_CASE("an answer that arrives before the whole request was sent is forwarded") {
     router_fixture router;
     wire caller = router.connect_caller();
