Leave upstreams alone for the time that they state in a refusal

The field was not read in upstreams' answers. It travels with the upstream's other statements to the dispatcher, which leaves that process of the upstream alone for the time, cut to the longest timeout of a route and prolonged by up to a tenth at random, so that routers do not return together. What cannot be read is logged and ignored. The relay reports every such statement, since each one begins the time anew. If all upstreams of a pool pause for longer than a request may wait, it is refused at once with the time until the first one returns; a refusal after the last attempt states no less.

Tests: "an upstream that wants a pause gets nothing until it is over, and the others take the requests", "when all upstreams of a pool pause, requests are refused at once with the time until the first returns" (dispatch_test), "an upstream that refuses with a time to come back gets nothing before, also if the request went elsewhere" (relay_test); all three seen failing with the pause left out.

--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -14,7 +14,7 @@
 using nlohmann::ordered_json;
 
 /// Events that change a router's view of the fleet; the last ones before a request explain its outcome.
-constexpr std::array<std::string_view, 19> view_events = {"started",
+constexpr std::array<std::string_view, 20> view_events = {"started",
                                                           "stop_requested",
                                                           "draining",
                                                           "state_changed",
@@ -31,6 +31,7 @@
                                                           "settings_read",
                                                           "blocked_after_crashes",
                                                           "upstream_leaving",
+                                                          "upstream_paused",
                                                           "upstream_limited",
                                                           "upstream_limit_over"};
 /// Largest number of view events of one router that are shown before the first line of the request.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -79,7 +79,7 @@
         capacity, ///< the best upstream has no slot or memory left for it
         delay,    ///< its first event would come too late
         service,  ///< its account is too far ahead of a backlogged one
-        stated,   ///< upstreams take no more requests now, by limits that they state
+        stated,   ///< upstreams take no more requests now, by what they state
     };
     static std::string_view to_string(placement_limit value);
     /// A request from its arrival to its end.
@@ -157,6 +157,9 @@
     void start_attempt(session& request, const placement_choice& choice);
     void enqueue(session& request);
     void serve_queues();
+    /// Refuses the request if all upstreams of its pool are to be left alone for longer than it may wait.
+    bool refuse_if_paused(session& request);
+    void pause_upstream(const upstream_stated& stated);
     void refuse(session& request, base::error_code cause);
     [[nodiscard]] base::duration max_queue_time(const session& request) const;
     [[nodiscard]] base::duration retry_delay(const session& request);
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -100,14 +100,17 @@
 struct upstream_statement {
     /// It ends soon and takes no new requests.
     bool leaving = false;
+    /// Time for which it wants no request from this router; empty if it states none.
+    std::optional<base::duration> pause;
     /// Requests that it takes from all routers together; empty if it states no limit.
     std::optional<base::request_rate> request_limit;
     /// A field was not readable and counts as missing.
     bool malformed = false;
 
-    [[nodiscard]] bool empty() const { return !leaving && !request_limit && !malformed; }
+    [[nodiscard]] bool empty() const { return *this == upstream_statement(); }
     friend bool operator==(const upstream_statement& a, const upstream_statement& b) {
-        return a.leaving == b.leaving && a.request_limit == b.request_limit && a.malformed == b.malformed;
+        return a.leaving == b.leaving && a.pause == b.pause && a.request_limit == b.request_limit &&
+               a.malformed == b.malformed;
     }
 };
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -332,6 +332,18 @@
     return found == ready_.end() ? 0 : found->second.size();
 }
 
+std::optional<base::duration> placement::pause_of(const base::pool_id& pool, base::time_point now) const {
+    const auto found = ready_.find(pool);
+    if (found == ready_.end()) {
+        return std::nullopt;
+    }
+    base::time_point earliest = base::time_point::max();
+    for (const candidate& ready_upstream : found->second) {
+        earliest = std::min(earliest, ready_upstream.state->down_until);
+    }
+    return std::max(earliest - now, base::duration::zero());
+}
+
 double placement::engine_occupancy() const {
     double running = 0;
     double slots = 0;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -134,6 +134,10 @@
     /// Connections to one upstream of the pool that this router may have, as one of `routers`.
     [[nodiscard]] std::uint32_t connection_limit(const base::pool_id& pool, std::size_t routers) const;
     [[nodiscard]] const std::map<base::upstream_id, upstream_state>& states() const { return states_; }
+    /// Time until an upstream of the pool takes requests again, if all of them are to be left alone; zero if
+    /// one takes requests now, empty if there is none.
+    [[nodiscard]] std::optional<base::duration> pause_of(const base::pool_id& pool,
+                                                         base::time_point now) const;
     /// Number of upstreams of the pool that take new work.
     [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
     /// Share of the slots of all ready engines that the fleet's requests occupy.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -389,7 +389,8 @@
         return;
     }
     if (last != statements_.end() && last->second.started_ms == upstream.started_ms &&
-        last->second.statement == statement && now < last->second.reported_at + statement_report_interval) {
+        last->second.statement == statement && !statement.pause &&
+        now < last->second.reported_at + statement_report_interval) {
         return;
     }
     if (statement.empty()) {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -807,7 +807,7 @@
         return found;
     };
     REQUIRE(gets_work());
-    router.handle(upstream_stated{leaving.id, 0, {true, std::nullopt, false}});
+    router.handle(upstream_stated{leaving.id, 0, {true, std::nullopt, std::nullopt, false}});
     CHECK(router.retired(leaving.id));
     CHECK_FALSE(gets_work());
     SECTION("the list still shows it as ready") {
@@ -823,11 +823,69 @@
         leaving.started_ms = 5;
         router.handle(roster_changed{{{leaving.id, leaving}}, 2, std::nullopt});
         CHECK(gets_work());
-        router.handle(upstream_stated{leaving.id, 0, {true, std::nullopt, false}});
+        router.handle(upstream_stated{leaving.id, 0, {true, std::nullopt, std::nullopt, false}});
         CHECK(gets_work());
     }
 }
 
+TEST_CASE("an upstream that wants a pause gets nothing until it is over, and the others take the requests") {
+    dispatcher_fixture router;
+    const base::upstream_id paused("p1");
+    router.handle(upstream_stated{paused, 0, {false, seconds(2), std::nullopt, false}});
+    const auto gets_work = [&] {
+        bool found = false;
+        for (int i = 0; i < 8; ++i) {
+            const session_id id = router.request("/order/1");
+            REQUIRE(router.sent(id) != nullptr);
+            found = found || router.sent(id)->target.id == paused;
+            router.finish(id, attempt_outcome::delivered);
+        }
+        return found;
+    };
+    for (int i = 0; i < 19; ++i) {
+        CHECK_FALSE(gets_work());
+        router.advance(milliseconds(100));
+        router.handle(catalogue_read{nullptr, router.now()});
+    }
+    SECTION("the pause is over") {
+        router.advance(milliseconds(400));
+        CHECK(gets_work());
+    }
+    SECTION("the upstream restarts under the same id") {
+        upstream_entry restarted = make_upstream("p1", plain_pool, 4);
+        restarted.started_ms = 5;
+        router.handle(roster_changed{{{paused, restarted}}, 2, std::nullopt});
+        CHECK(gets_work());
+        router.handle(upstream_stated{paused, 0, {false, seconds(2), std::nullopt, false}});
+        CHECK(gets_work());
+    }
+}
+
+TEST_CASE("when all upstreams of a pool pause, requests are refused at once with the time until the first "
+          "returns") {
+    dispatcher_fixture router;
+    router.handle(upstream_stated{base::upstream_id("p1"), 0, {false, seconds(4), std::nullopt, false}});
+    router.handle(upstream_stated{base::upstream_id("p2"), 0, {false, seconds(2), std::nullopt, false}});
+    const session_id id = router.request("/look/1");
+    REQUIRE(router.ended(id) != nullptr);
+    CHECK(router.ended(id)->status == 503);
+    REQUIRE(router.ended(id)->retry_after);
+    CHECK(*router.ended(id)->retry_after >= seconds(2));
+    CHECK(*router.ended(id)->retry_after <= seconds(3));
+    SECTION("a pause that a request can wait for") {
+        router.advance(milliseconds(2190));
+        CHECK(router.sent(router.request("/look/1")) != nullptr);
+    }
+    SECTION("a pause longer than any request may last is cut") {
+        router.handle(
+            upstream_stated{base::upstream_id("p2"), 0, {false, std::chrono::hours(9), std::nullopt, false}});
+        for (int i = 0; i < 111; ++i) {
+            router.advance(milliseconds(100));
+        }
+        CHECK(router.sent(router.request("/look/1")) != nullptr);
+    }
+}
+
 TEST_CASE("a router is not ready before its relay accepts connections") {
     const base::time_point now(std::chrono::hours(1));
     dispatcher router(dispatcher_fixture::settings(), now);
@@ -1082,7 +1140,8 @@
 
 TEST_CASE("requests wait for an upstream that states a limit, and are refused if they waited too long") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
-    router.handle(upstream_stated{base::upstream_id("m1"), 0, {false, base::request_rate(0), false}});
+    router.handle(
+        upstream_stated{base::upstream_id("m1"), 0, {false, std::nullopt, base::request_rate(0), false}});
     const session_id id = router.request("/text/1", "key-a");
     router.advance(milliseconds(100));
     CHECK(router.sent(id) == nullptr);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -429,6 +429,47 @@
     CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
 }
 
+TEST_CASE("an upstream that refuses with a time to come back gets nothing before, also if the request went "
+          "elsewhere") {
+    const platform::dialect dialect;
+    http::response_head head;
+    head.status = 503;
+    const auto pause = [&](const std::string& value) {
+        head.fields = {{"Retry-After", value}};
+        return dialect.read_answer(head).statement;
+    };
+    CHECK(pause("2").pause == seconds(2));
+    CHECK(pause("0.25").pause == milliseconds(250));
+    CHECK(pause("1e300").pause == std::chrono::hours(24));
+    for (const char* const malformed : {"", "-1", "nan", "soon", "Fri, 04 Dec 2026 23:37:19 GMT"}) {
+        CHECK_FALSE(pause(malformed).pause);
+        CHECK(pause(malformed).malformed);
+    }
+    head.status = 200;
+    CHECK(pause("2").empty());
+
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/order/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    first.send("HTTP/1.1 503 No\r\nX-Attempt-Id: t1\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\n"
+               "Keep-Alive: timeout=9\r\nContent-Length: 0\r\n\r\n");
+    wire second = router.accept_any_upstream();
+    second.read_request();
+    second.send(ok_answer("t1", "one", "Keep-Alive: timeout=9\r\n"));
+    CHECK(contains(caller.read_answer(), "one"));
+    std::this_thread::sleep_for(milliseconds(100)); // longer than any pause after a refusal without a time
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "n" + std::to_string(i);
+        caller.send(request("/order/" + id, id, "Content-Length: 0\r\n", "POST"));
+        CHECK(contains(second.read_request(), "/order/" + id));
+        second.send(ok_answer(id, id, "Keep-Alive: timeout=9\r\n"));
+        CHECK(contains(caller.read_answer(), id));
+    }
+    CHECK_FALSE(first.has_more(milliseconds(1)));
+}
+
 TEST_CASE("an answer that arrives before the whole request was sent is forwarded") {
     router_fixture router;
     wire caller = router.connect_caller();
