--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -66,8 +66,6 @@
 constexpr base::duration refused_connection_time = std::chrono::seconds(2);
 /// Pause of an upstream that refuses work because it is full.
 constexpr base::duration full_pause = std::chrono::milliseconds(30);
-/// Largest random part by which a pause that an upstream states is prolonged.
-constexpr double pause_spread = 0.1;
 /// Pause of an upstream whose address another upstream has; its entry is corrected in the meantime.
 constexpr base::duration misdirected_pause = std::chrono::seconds(1);
 /// Number of routers that a router without a list of its peers assumes to exist.
@@ -561,17 +559,6 @@
     }
 }
 
-bool dispatcher::refuse_if_paused(session& request) {
-    const std::optional<base::duration> pause = placement_.pause_of(request.pool, now_);
-    if (!pause || *pause <= max_queue_time(request) - (now_ - request.arrived)) {
-        return false;
-    }
-    request.limit = placement_limit::stated;
-    const double spread = std::uniform_real_distribution<double>(0, retry_delay_spread)(random_);
-    end_session(request, 503, error_code::queue_full, scaled(*pause, 1 + spread));
-    return true;
-}
-
 void dispatcher::refuse(session& request, error_code cause) {
     const base::duration pause = placement_.pause_of(request.pool, now_).value_or(base::duration::zero());
     end_session(request, 503, cause, std::max(retry_delay(request), pause));
@@ -614,45 +601,6 @@
     }
 }
 
-void dispatcher::on(const upstream_stated& stated) {
-    if (stated.statement.malformed) {
-        base::log_event(log_level::warning, "dispatcher", "malformed_statement",
-                        {{"upstream", stated.upstream.value()}});
-    }
-    if (stated.statement.pause) {
-        pause_upstream(stated);
-    }
-    if (stated.statement.leaving && roster_.mark_leaving(stated.upstream, stated.started_ms)) {
-        ++counters_["stated/leaving"];
-        base::log_event(log_level::info, "dispatcher", "upstream_leaving",
-                        {{"upstream", stated.upstream.value()}});
-        apply_roster();
-    }
-    limits_.record_statement(stated.upstream, stated.started_ms, stated.statement.request_limit, now_);
-}
-
-/// The pause is prolonged by a random part, so that the routers do not return all at once.
-void dispatcher::pause_upstream(const upstream_stated& stated) {
-    const upstream_entry* const entry = roster_.find(stated.upstream);
-    if (entry == nullptr || entry->started_ms != stated.started_ms) {
-        return;
-    }
-    base::duration longest_timeout{};
-    if (catalogue_) {
-        for (const route& known : catalogue_->routes) {
-            longest_timeout = std::max(longest_timeout, known.timeout);
-        }
-    }
-    const base::duration pause = std::min(*stated.statement.pause, longest_timeout);
-    const double spread = std::uniform_real_distribution<double>(0, pause_spread)(random_);
-    placement_.avoid(stated.upstream, scaled(pause, 1 + spread), now_);
-    ++counters_["stated/pause"];
-    base::log_event(log_level::info, "dispatcher", "upstream_paused",
-                    {{"upstream", stated.upstream.value()},
-                     {"stated_ms", to_ms(*stated.statement.pause)},
-                     {"for_ms", to_ms(pause)}});
-}
-
 void dispatcher::release_placed_work(session& request) {
     if (request.placed.running > 0) {
         placement_.record_finished(request.target, std::exchange(request.placed, {}), request.prompt);
--- a/src/dispatch/reporting.cpp
+++ b/src/dispatch/reporting.cpp
@@ -83,38 +83,6 @@
     placement_.end_aggregation();
 }
 
-/// While any limit is in force, sends the limits and the demand to the routers that also get the work.
-void dispatcher::send_limits() {
-    if (limits_.count() == 0) {
-        return;
-    }
-    if (delegation_.is_delegate()) {
-        for (const auto& [reporter, sequence] : delegation_.reporters(now_)) {
-            send_to(reporter, limits_.aggregated_report({reporter}, now_));
-        }
-        for (const base::vm_id& delegate : delegation_.other_delegates()) {
-            send_to(delegate, limits_.aggregated_report(delegation_.other_delegates(), now_));
-        }
-        return;
-    }
-    const decision::limit_report report = limits_.own_report(now_);
-    if (delegation_.needed()) {
-        return send_to(delegation_.delegate(), report);
-    }
-    for (const base::vm_id& peer : members_.live()) {
-        if (peer != members_.self()) {
-            send_to(peer, report);
-        }
-    }
-}
-
-void dispatcher::receive_limits(const decision::envelope& received) {
-    const decision::limit_report& report = std::get<decision::limit_report>(received.body);
-    if (!foreign_aggregate(received.header.sender, report.aggregated)) {
-        limits_.receive_report(received.header.sender, report, now_);
-    }
-}
-
 /// Such a sender disagrees on the delegates. The same sums arrive from the delegate that this router knows.
 bool dispatcher::foreign_aggregate(const base::vm_id& from, bool aggregated) const {
     return aggregated && !(delegation_.is_delegate() ? delegation_.other_delegates().count(from) != 0
