Keep answers that are no event stream out of a stream that bluebelld resumes

Such an attempt now ends as interrupted. Test "a success that is no event stream is not joined to a stream that is resumed" failed before ("error text" after the first event) and passes.

--- a/src/upstream/attempt.cpp
+++ b/src/upstream/attempt.cpp
@@ -118,7 +118,13 @@
     head_.status = head.status;
     std::copy_if(head.fields.begin(), head.fields.end(), std::back_inserter(head_.fields),
                  [](const decision::field& field) { return !is_hop_by_hop(field.name); });
-    streamed_ = command_.caller_exchange->request_content().streamed && is_event_stream(head_);
+    const bool stream_requested = command_.caller_exchange->request_content().streamed;
+    streamed_ = stream_requested && is_event_stream(head_);
+    if (command_.resume_from.value() > 0 && stream_requested && !streamed_) {
+        finish(attempt_status::interrupted,
+               error{error_code::upstream_malformed_answer, command_.target.id.value(),
+                     "the resumed answer is no event stream"});
+    }
 }
 
 void attempt::on_body(const std::string& bytes) {
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -363,6 +363,30 @@
     }
 }
 
+TEST_CASE("a success that is no event stream is not joined to a stream that is resumed") {
+    bluebell::tests::fake_server server;
+    transport_fixture fixture;
+    const std::shared_ptr<recording_exchange> exchange = std::make_shared<recording_exchange>(chat("a"));
+    fixture.push(fixture.dispatch_to({"127.0.0.1", server.port()}, exchange, 1));
+    bluebell::tests::wire first = server.accept();
+    first.read_request();
+    const std::string event = "data: a\n\n";
+    first.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 100\r\n\r\n" + event);
+    REQUIRE(exchange->wait_for(event.size()));
+    first.close();
+    const decision::attempt_ended broken = fixture.next_end();
+    decision::dispatch next = fixture.dispatch_to({"127.0.0.1", server.port()}, exchange, 1, 2);
+    next.resume_from = broken.result.delivered;
+    next.kind = decision::pool_kind::model;
+    next.target.can_resume = true;
+    fixture.push(next);
+    bluebell::tests::wire second = server.accept();
+    second.read_request();
+    second.send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\nerror text");
+    CHECK(fixture.next_end().result.status == attempt_status::interrupted);
+    CHECK(exchange->text() == event);
+}
+
 TEST_CASE("a repeated answer that differs from the delivered part does not reach the caller") {
     standin::engine engine({});
     engine.start();
