Refuse for want of room as such, not as a pause that no upstream stated

Callers that waited their longest time for a full pool got a 503 with `limit` `stated` and a time to come back of 0, or of the rest of a pause of 30 ms, instead of the retry delay (a fifth of the time until the deadline and more).

Cause: `placement::pause_of` answered zero for a pool that does not pause. Past the longest time in the queue the time left is negative, so zero was more, and `refuse_if_paused` took the request. It also took the pauses after a refusal or a failed connection for stated ones.

Change: `pause_of` is empty unless all upstreams of the pool are to be left alone, and says whether upstreams stated that; stated pauses have a time of their own in `upstream_state`. A refusal for any other pause goes through `refuse`. The dump counts `ended/CAUSE/LIMIT`, which the tests read; both parts are fixed sets.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -560,8 +560,9 @@
 }
 
 void dispatcher::refuse(session& request, error_code cause) {
-    const base::duration pause = placement_.pause_of(request.pool, now_).value_or(base::duration::zero());
-    end_session(request, 503, cause, std::max(retry_delay(request), pause));
+    const std::optional<pool_pause> pause = placement_.pause_of(request.pool, now_);
+    const base::duration delay = retry_delay(request);
+    end_session(request, 503, cause, pause ? std::max(delay, pause->remaining) : delay);
 }
 
 base::duration dispatcher::retry_delay(const session& request) {
@@ -714,7 +715,11 @@
 
 void dispatcher::end_session(session& request, int status, error_code cause,
                              std::optional<base::duration> retry_after) {
-    ++counters_["ended/" + std::string(base::to_string(cause))];
+    const std::string counter = "ended/" + std::string(base::to_string(cause));
+    ++counters_[counter];
+    if (request.limit != placement_limit::none) {
+        ++counters_[counter + '/' + std::string(to_string(request.limit))];
+    }
     base::log_event(log_level::info, "dispatcher", "ended",
                     {{"request", request.caller_request_id},
                      {"status", status},
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -116,10 +116,14 @@
     double failure_rate = 0;
     /// No work is sent before this time; set after failed connections and refusals.
     base::time_point down_until;
+    /// No work is sent before this time, as the upstream stated.
+    base::time_point paused_until;
     std::uint32_t connect_failures = 0;
     /// Start time of the upstream process that the state belongs to.
     std::int64_t started_ms = 0;
 
+    /// When work is sent again.
+    [[nodiscard]] base::time_point available_at() const { return std::max(down_until, paused_until); }
     [[nodiscard]] placed_work total() const {
         placed_work sum = own;
         sum += peers;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -332,16 +332,21 @@
     return found == ready_.end() ? 0 : found->second.size();
 }
 
-std::optional<base::duration> placement::pause_of(const base::pool_id& pool, base::time_point now) const {
+std::optional<pool_pause> placement::pause_of(const base::pool_id& pool, base::time_point now) const {
     const auto found = ready_.find(pool);
     if (found == ready_.end()) {
         return std::nullopt;
     }
     base::time_point earliest = base::time_point::max();
+    bool stated = false;
     for (const candidate& ready_upstream : found->second) {
-        earliest = std::min(earliest, ready_upstream.state->down_until);
+        earliest = std::min(earliest, ready_upstream.state->available_at());
+        stated = stated || ready_upstream.state->down_until <= now;
     }
-    return std::max(earliest - now, base::duration::zero());
+    if (earliest <= now) {
+        return std::nullopt;
+    }
+    return pool_pause{earliest - now, stated};
 }
 
 double placement::engine_occupancy() const {
@@ -416,7 +421,7 @@
     for (const candidate& ready_engine : ready) {
         const token_count cached_tokens = expected_cached_tokens(request, *ready_engine.state, engine);
         holders.cached_tokens.push_back(cached_tokens);
-        if (!can_copy || now < ready_engine.state->down_until ||
+        if (!can_copy || now < ready_engine.state->available_at() ||
             ready_engine.state->failure_rate > max_copy_source_failure_rate) {
             continue;
         }
@@ -506,7 +511,7 @@
         const upstream_entry& entry = *ready[i].entry;
         const upstream_state& state = *ready[i].state;
         if ((request.excluded != nullptr && request.excluded->count(entry.id) != 0) ||
-            now < state.down_until || !limits_.may_send(entry.id, now)) {
+            now < state.available_at() || !limits_.may_send(entry.id, now)) {
             continue;
         }
         if (engine == nullptr &&
@@ -631,6 +636,11 @@
     state.down_until = std::max(state.down_until, now + time);
 }
 
+void placement::pause(const base::upstream_id& upstream, base::duration time, base::time_point now) {
+    upstream_state& state = states_[upstream];
+    state.paused_until = std::max(state.paused_until, now + time);
+}
+
 std::uint32_t placement::connection_limit(const base::pool_id& pool, std::size_t routers) const {
     const dispatch::pool* const found_pool = catalogue_ ? catalogue_->find(pool) : nullptr;
     const double usable_connections =
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -62,6 +62,14 @@
     bool full = false;
 };
 
+/// A time for which no upstream of a pool is to be sent requests.
+struct pool_pause {
+    /// Time until the first upstream takes requests again; more than zero.
+    base::duration remaining;
+    /// Without the pauses that upstreams stated, one of them would take requests now.
+    bool stated = false;
+};
+
 /// Routers to which a delegate forwards the prompt parts that a report names.
 enum class forward_scope {
     none,            ///< this router is no delegate
@@ -130,14 +138,15 @@
     void record_connect_failure(const base::upstream_id& upstream, base::time_point now);
     /// Sends no work to the upstream for `time`.
     void avoid(const base::upstream_id& upstream, base::duration time, base::time_point now);
+    /// Sends no work to the upstream for `time`, as it stated.
+    void pause(const base::upstream_id& upstream, base::duration time, base::time_point now);
 
     /// Connections to one upstream of the pool that this router may have, as one of `routers`.
     [[nodiscard]] std::uint32_t connection_limit(const base::pool_id& pool, std::size_t routers) const;
     [[nodiscard]] const std::map<base::upstream_id, upstream_state>& states() const { return states_; }
-    /// Time until an upstream of the pool takes requests again, if all of them are to be left alone; zero if
-    /// one takes requests now, empty if there is none.
-    [[nodiscard]] std::optional<base::duration> pause_of(const base::pool_id& pool,
-                                                         base::time_point now) const;
+    /// Pause of the pool, if all its upstreams are to be left alone; empty if one takes requests now or if
+    /// there is none.
+    [[nodiscard]] std::optional<pool_pause> pause_of(const base::pool_id& pool, base::time_point now) const;
     /// Number of upstreams of the pool that take new work.
     [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
     /// Share of the slots of all ready engines that the fleet's requests occupy.
--- a/src/dispatch/statements.cpp
+++ b/src/dispatch/statements.cpp
@@ -57,7 +57,7 @@
     }
     const base::duration pause = std::min(*stated.statement.pause, longest_timeout);
     const double spread = std::uniform_real_distribution<double>(0, pause_spread)(random_);
-    placement_.avoid(stated.upstream, scaled(pause, 1 + spread), now_);
+    placement_.pause(stated.upstream, scaled(pause, 1 + spread), now_);
     ++counters_["stated/pause"];
     base::log_event(log_level::info, "dispatcher", "upstream_paused",
                     {{"upstream", stated.upstream.value()},
@@ -66,13 +66,17 @@
 }
 
 bool dispatcher::refuse_if_paused(session& request) {
-    const std::optional<base::duration> pause = placement_.pause_of(request.pool, now_);
-    if (!pause || *pause <= max_queue_time(request) - (now_ - request.arrived)) {
+    const std::optional<pool_pause> pause = placement_.pause_of(request.pool, now_);
+    if (!pause || pause->remaining <= max_queue_time(request) - (now_ - request.arrived)) {
         return false;
     }
+    if (!pause->stated) {
+        refuse(request, error_code::queue_full);
+        return true;
+    }
     request.limit = placement_limit::stated;
     const double spread = std::uniform_real_distribution<double>(0, max_return_spread)(random_);
-    end_session(request, 503, error_code::queue_full, scaled(*pause, 1 + spread));
+    end_session(request, 503, error_code::queue_full, scaled(pause->remaining, 1 + spread));
     return true;
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -145,6 +145,17 @@
 
     [[nodiscard]] const std::vector<decision::datagram>& datagrams() const { return datagrams_; }
     dispatcher& decisions() { return decisions_; }
+    /// Value of the dump; zero if it is not there.
+    [[nodiscard]] double value(const std::string& name) {
+        for (const decision::state_section& section : decisions_.report(now_)) {
+            for (const decision::state_value& value : section.values) {
+                if (value.name == name) {
+                    return std::stod(value.json);
+                }
+            }
+        }
+        return 0;
+    }
     base::time_point now() const { return now_; }
 
 private:
@@ -453,6 +464,54 @@
     CHECK(refused >= 20);
 }
 
+TEST_CASE("a request that finds the queue full for its whole time names the capacity, not a statement, and "
+          "returns after the retry delay") {
+    const bool plain = GENERATE(false, true);
+    const std::string path = plain ? "/look/1" : "/text/1";
+    // A plain upstream takes several requests per slot.
+    dispatcher_fixture router({make_upstream("u1", plain ? plain_pool : model_pool, 1)});
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        router.request(path, "key-a", 200, 100 + i);
+    }
+    const session_id late = router.request(path, "key-a", 200, 200);
+    const base::time_point arrived = router.now();
+    REQUIRE(router.sent(late) == nullptr);
+    // The next pass over the queue then comes after more than the longest time, as in a running router.
+    router.advance(milliseconds(158));
+    CHECK(router.ended(late) == nullptr);
+    base::time_point ended_at;
+    while (router.ended(late) == nullptr && router.now() < arrived + seconds(1)) {
+        router.advance(milliseconds(5));
+        ended_at = router.now();
+    }
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(ended_at - arrived <= milliseconds(170));
+    REQUIRE(router.ended(late)->retry_after);
+    // A fifth of the time until the deadline, and a random part of up to a quarter of that.
+    CHECK(*router.ended(late)->retry_after >= seconds(2));
+    CHECK(*router.ended(late)->retry_after <= milliseconds(2500));
+    CHECK(router.value("ended/queue_full") > 0);
+    CHECK(router.value("ended/queue_full/capacity") == router.value("ended/queue_full"));
+}
+
+TEST_CASE("a pause that no upstream stated, after a refusal or a failed connection, is not called one") {
+    const attempt_outcome outcome = GENERATE(attempt_outcome::refused, attempt_outcome::unsent);
+    dispatcher_fixture router({make_upstream("p1", plain_pool, 1)});
+    const session_id first = router.request("/look/1");
+    while (router.sent(router.request("/look/1")) != nullptr) {
+    }
+    const session_id late = router.request("/look/1");
+    router.advance(milliseconds(145));
+    REQUIRE(router.ended(late) == nullptr);
+    router.finish(first, outcome);
+    router.advance(milliseconds(30));
+    REQUIRE(router.ended(late) != nullptr);
+    REQUIRE(router.ended(late)->retry_after);
+    CHECK(*router.ended(late)->retry_after >= seconds(2));
+    CHECK(router.value("ended/queue_full") > 0);
+    CHECK(router.value("ended/queue_full/stated") == 0);
+}
+
 TEST_CASE("a slot that becomes free goes to a waiting request") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 2)});
     const session_id first = router.request("/text/1", "key-a", 200, 1);
