Name what an upstream states as the cause only where that upstream had room

A request refused for full engines was logged with `limit` `stated` if any upstream of its pool had a limit whose next whole request was not due yet, even if that upstream was full too or if the first event would have been in time elsewhere. The reverse as well: a pool with room only at a paused upstream was logged as `capacity`.

Cause: `request_limits::holds_back` asked whether a limit binds at any upstream of the pool, not whether the request would have been placed without it.

Change: `placement::consider` returns, beside the choice, what it would be without the limits and without limits and pauses, from the same costs and the same sample. The dispatcher names a statement only if it admits that choice. `holds_back` is gone.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -457,17 +457,12 @@
     placement_needs.sample_size = !delegation_.needed()  ? 0
                                   : request.needs_engine ? engine_sample_size
                                                          : plain_sample_size;
-    const std::optional<placement_choice> choice = placement_.choose(placement_needs, now_);
-    if (!choice) {
-        request.limit =
-            limits_.holds_back(request.pool, now_) ? placement_limit::stated : placement_limit::capacity;
-        return false;
-    }
-    if (!admit(request, *choice)) {
-        request.limit = placement_limit::delay;
+    const placement_options options = placement_.consider(placement_needs, now_);
+    if (!options.best || !admit(request, *options.best)) {
+        request.limit = find_limit(request, options);
         return false;
     }
-    start_attempt(request, *choice);
+    start_attempt(request, *options.best);
     return true;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -151,6 +151,8 @@
                                              const std::optional<base::duration>& caller_timeout);
     const base::pool_id& pick_pool(const route& matched);
     bool try_place(session& request);
+    /// What keeps a request, for which `options` has no choice that `admit` accepts, from being placed.
+    [[nodiscard]] placement_limit find_limit(const session& request, const placement_options& options) const;
     [[nodiscard]] bool admit(const session& request, const placement_choice& choice) const;
     [[nodiscard]] double fairness_factor(const session& request) const;
     [[nodiscard]] double capacity_share(const session& request, bool late) const;
--- a/src/dispatch/limits.cpp
+++ b/src/dispatch/limits.cpp
@@ -216,12 +216,6 @@
     return found->second.credit >= 1;
 }
 
-bool request_limits::holds_back(const base::pool_id& pool, base::time_point now) {
-    return std::any_of(limits_.begin(), limits_.end(), [&](const auto& known) {
-        return known.second.pool == pool && !may_send(known.first, now);
-    });
-}
-
 void request_limits::record_sent(const base::upstream_id& upstream) {
     const auto found = limits_.find(upstream);
     if (found != limits_.end()) {
--- a/src/dispatch/limits.h
+++ b/src/dispatch/limits.h
@@ -69,8 +69,6 @@
 
     /// Returns true if this router may send a request to the upstream.
     [[nodiscard]] bool may_send(const base::upstream_id& upstream, base::time_point now);
-    /// Returns true if limits keep this router from sending to an upstream of the pool.
-    [[nodiscard]] bool holds_back(const base::pool_id& pool, base::time_point now);
     /// Records that a request is sent to the upstream.
     void record_sent(const base::upstream_id& upstream);
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -82,6 +82,25 @@
             {}};
 }
 
+/// The cheapest of the choices that were offered.
+class least_cost_choice {
+public:
+    void offer(const placement_choice& choice, base::duration cost) {
+        if (!best_ || cost < best_cost_) {
+            best_ = choice;
+            best_cost_ = cost;
+        }
+    }
+    /// Waiting for the best engine is better than reading a shared part again at another one.
+    [[nodiscard]] std::optional<placement_choice> unless_full() const {
+        return best_ && best_->full ? std::nullopt : best_;
+    }
+
+private:
+    std::optional<placement_choice> best_;
+    base::duration best_cost_{};
+};
+
 } // namespace
 
 void placement::set_catalogue(catalogue_ptr value) {
@@ -492,10 +511,10 @@
            static_cast<double>((total.memory_tokens + memory_tokens).value()) <= limit;
 }
 
-std::optional<placement_choice> placement::choose(const placement_request& request, base::time_point now) {
+placement_options placement::consider(const placement_request& request, base::time_point now) {
     const auto found = ready_.find(request.pool);
     if (found == ready_.end() || !catalogue_) {
-        return std::nullopt;
+        return {};
     }
     const engine_traits* const engine = catalogue_->engine(request.pool);
     const std::vector<candidate>& ready = found->second;
@@ -505,15 +524,18 @@
     const prefill_model& model = models_[request.pool];
     std::uniform_int_distribution<base::duration::rep> jitter(0, cost_jitter.count());
     const std::size_t sample_start = std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(random_);
-    std::optional<placement_choice> best;
-    base::duration best_cost{};
+    least_cost_choice best;
+    least_cost_choice without_limits;
+    least_cost_choice without_statements;
     for (std::size_t i = 0; i < ready.size(); ++i) {
         const upstream_entry& entry = *ready[i].entry;
         const upstream_state& state = *ready[i].state;
         if ((request.excluded != nullptr && request.excluded->count(entry.id) != 0) ||
-            now < state.available_at() || !limits_.may_send(entry.id, now)) {
+            now < state.down_until) {
             continue;
         }
+        const bool paused = now < state.paused_until;
+        const bool limited = !limits_.may_send(entry.id, now);
         if (engine == nullptr &&
             !has_capacity(entry, state, engine, request.memory_tokens, request.capacity_share)) {
             continue;
@@ -547,13 +569,15 @@
         if (choice.full) {
             cost += full_engine_penalty;
         }
-        if (!best || cost < best_cost) {
-            best = choice;
-            best_cost = cost;
+        without_statements.offer(choice, cost);
+        if (!paused) {
+            without_limits.offer(choice, cost);
+        }
+        if (!paused && !limited) {
+            best.offer(choice, cost);
         }
     }
-    // Waiting for the best engine is better than reading a shared part again at another one.
-    return best && best->full ? std::nullopt : best;
+    return {best.unless_full(), without_limits.unless_full(), without_statements.unless_full()};
 }
 
 void placement::record_sent(const placement_choice& choice, const placed_work& work,
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -62,6 +62,16 @@
     bool full = false;
 };
 
+/// The choice among upstreams, with the ones that it would be if upstreams stated less.
+struct placement_options {
+    /// Empty if no upstream is available, or if the best one has no capacity.
+    std::optional<placement_choice> best;
+    /// The choice if no limits of request rates were in force.
+    std::optional<placement_choice> without_limits;
+    /// The choice if neither limits nor stated pauses were in force.
+    std::optional<placement_choice> without_statements;
+};
+
 /// A time for which no upstream of a pool is to be sent requests.
 struct pool_pause {
     /// Time until the first upstream takes requests again; more than zero.
@@ -121,7 +131,11 @@
     /// on prompt parts that it would have to read again. Empty if none is available, or if the best one has
     /// no capacity.
     [[nodiscard]] std::optional<placement_choice> choose(const placement_request& request,
-                                                         base::time_point now);
+                                                         base::time_point now) {
+        return consider(request, now).best;
+    }
+    /// As `choose`, also with the choices that the statements of upstreams may prevent.
+    [[nodiscard]] placement_options consider(const placement_request& request, base::time_point now);
 
     /// Records that a request was sent to the chosen upstream.
     void record_sent(const placement_choice& choice, const placed_work& work, const prompt_info& prompt);
--- a/src/dispatch/statements.cpp
+++ b/src/dispatch/statements.cpp
@@ -65,6 +65,15 @@
                      {"for_ms", to_ms(pause)}});
 }
 
+/// What upstreams state counts only if one of them would have taken the request otherwise.
+dispatcher::placement_limit dispatcher::find_limit(const session& request,
+                                                   const placement_options& options) const {
+    if (options.without_statements && admit(request, *options.without_statements)) {
+        return placement_limit::stated;
+    }
+    return options.best ? placement_limit::delay : placement_limit::capacity;
+}
+
 bool dispatcher::refuse_if_paused(session& request) {
     const std::optional<pool_pause> pause = placement_.pause_of(request.pool, now_);
     if (!pause || pause->remaining <= max_queue_time(request) - (now_ - request.arrived)) {
@@ -74,7 +83,6 @@
         refuse(request, error_code::queue_full);
         return true;
     }
-    request.limit = placement_limit::stated;
     const double spread = std::uniform_real_distribution<double>(0, max_return_spread)(random_);
     end_session(request, 503, error_code::queue_full, scaled(pause->remaining, 1 + spread));
     return true;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1208,4 +1208,37 @@
     REQUIRE(router.ended(id) != nullptr);
     CHECK(router.ended(id)->status == 503);
     CHECK(router.ended(id)->retry_after);
+    CHECK(router.value("ended/queue_full/stated") == 1);
+}
+
+TEST_CASE("a refusal names the statement of an upstream only if that upstream had room for the request") {
+    const std::vector<base::upstream_id> upstreams{base::upstream_id("m1"), base::upstream_id("m2")};
+    dispatcher_fixture router({make_upstream("m1", model_pool, 2), make_upstream("m2", model_pool, 2)});
+    std::vector<session_id> first;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        first.push_back(router.request("/text/1", "key-a", 200, 100 + i));
+    }
+    router.advance(milliseconds(300));
+    const upstream_statement statement =
+        GENERATE(upstream_statement{false, std::nullopt, base::request_rate(0), false},
+                 upstream_statement{false, seconds(5), std::nullopt, false});
+    router.handle(upstream_stated{upstreams[0], 0, statement});
+    const double refused = router.value("ended/queue_full");
+    REQUIRE(refused > 0);
+    REQUIRE(router.value("ended/queue_full/stated") == 0);
+    const bool room = GENERATE(false, true);
+    if (room) {
+        for (const session_id id : first) {
+            if (router.sent(id) != nullptr && router.sent(id)->target.id == upstreams[0]) {
+                router.handle(answer_started{id, 1});
+                router.finish(id, attempt_outcome::delivered);
+            }
+        }
+    }
+    const session_id late = router.request("/text/1", "key-a", 200, 200);
+    router.advance(milliseconds(200));
+    CHECK(router.sent(late) == nullptr);
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(router.value("ended/queue_full") == refused + 1);
+    CHECK(router.value("ended/queue_full/stated") == (room ? 1 : 0));
 }
