State in each refusal what kept the request from being placed last, and the time to come back

An `ended` line had one value, `stated`, for an upstream's rate limit and its pause, `capacity` for pools without a reachable upstream, and after a placed attempt the value of an earlier wait. Neither it nor `relay.refused` said when the caller was told to come back, nor how old the sums were that `position` comes from.

Change: `limit` is `unavailable`, `capacity`, `delay`, `service`, `rate_limit` or `pause`; a placement clears it, a retry without a choice sets it. The line carries `sums_age_ms` (`fair_share::oldest_report_age`) and `retry_after_ms`; `relay.refused` the latter. `explain` prints all fields of a line as before; its test has the new ones.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -145,14 +145,18 @@
     switch (value) {
     case placement_limit::none:
         return "none";
+    case placement_limit::unavailable:
+        return "unavailable";
     case placement_limit::capacity:
         return "capacity";
     case placement_limit::delay:
         return "delay";
     case placement_limit::service:
         return "service";
-    case placement_limit::stated:
-        return "stated";
+    case placement_limit::rate_limit:
+        return "rate_limit";
+    case placement_limit::pause:
+        return "pause";
     }
     return "unknown";
 }
@@ -472,6 +476,7 @@
         return;
     }
     request.state = stage::sent;
+    request.limit = placement_limit::none;
     ++request.attempt;
     ++request.upstreams_used;
     request.target = choice.upstream;
@@ -700,11 +705,15 @@
     placement_needs.prompt = &request.prompt;
     placement_needs.memory_tokens = request.memory_tokens;
     placement_needs.excluded = &request.tried_upstreams;
-    const std::optional<placement_choice> choice = placement_.choose(placement_needs, now_);
-    if (!choice || (!unsent && !retry_budget_.try_take(request.pool, now_))) {
+    const placement_options options = placement_.consider(placement_needs, now_);
+    if (!options.best) {
+        request.limit = find_limit(request, options);
         return false;
     }
-    start_attempt(request, *choice);
+    if (!unsent && !retry_budget_.try_take(request.pool, now_)) {
+        return false;
+    }
+    start_attempt(request, *options.best);
     return true;
 }
 
@@ -715,6 +724,7 @@
     if (request.limit != placement_limit::none) {
         ++counters_[counter + '/' + std::string(to_string(request.limit))];
     }
+    const std::optional<base::duration> sums_age = fair_share_.oldest_report_age(now_);
     base::log_event(log_level::info, "dispatcher", "ended",
                     {{"request", request.caller_request_id},
                      {"status", status},
@@ -726,6 +736,8 @@
                      {"tokens", request.cost.value()},
                      {"account", request.account.value()},
                      {"position", fair_share_.relative_service(request.account)},
+                     {"sums_age_ms", sums_age ? to_ms(*sums_age) : -1},
+                     {"retry_after_ms", retry_after ? to_ms(*retry_after) : -1},
                      {"version", catalogue_ ? catalogue_->version.value() : 0}});
     output_.relay.emplace_back(end_request{request.id, status, cause, retry_after});
     remove_session(request.id);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -73,13 +73,15 @@
 
 private:
     enum class stage { queued, sent };
-    /// Why a request that waits was not placed.
+    /// Why a request was not placed when this was last tried.
     enum class placement_limit {
-        none,
-        capacity, ///< the best upstream has no slot or memory left for it
-        delay,    ///< its first event would come too late
-        service,  ///< its account is too far ahead of a backlogged one
-        stated,   ///< upstreams take no more requests now, by what they state
+        none,        ///< it was placed, or this was not tried
+        unavailable, ///< no upstream is ready, reachable and not yet tried
+        capacity,    ///< the best upstream has no slot or memory left for it
+        delay,       ///< its first event would come too late
+        service,     ///< its account is too far ahead of a backlogged one
+        rate_limit,  ///< the upstream that had room states a limit of its request rate
+        pause,       ///< the upstream that had room states that it wants a pause
     };
     static std::string_view to_string(placement_limit value);
     /// A request from its arrival to its end.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -527,6 +527,7 @@
     least_cost_choice best;
     least_cost_choice without_limits;
     least_cost_choice without_statements;
+    bool reachable = false;
     for (std::size_t i = 0; i < ready.size(); ++i) {
         const upstream_entry& entry = *ready[i].entry;
         const upstream_state& state = *ready[i].state;
@@ -534,6 +535,7 @@
             now < state.down_until) {
             continue;
         }
+        reachable = true;
         const bool paused = now < state.paused_until;
         const bool limited = !limits_.may_send(entry.id, now);
         if (engine == nullptr &&
@@ -577,7 +579,7 @@
             best.offer(choice, cost);
         }
     }
-    return {best.unless_full(), without_limits.unless_full(), without_statements.unless_full()};
+    return {best.unless_full(), without_limits.unless_full(), without_statements.unless_full(), reachable};
 }
 
 void placement::record_sent(const placement_choice& choice, const placed_work& work,
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -70,6 +70,8 @@
     std::optional<placement_choice> without_limits;
     /// The choice if neither limits nor stated pauses were in force.
     std::optional<placement_choice> without_statements;
+    /// An upstream was neither excluded nor unreachable, whatever it stated.
+    bool reachable = false;
 };
 
 /// A time for which no upstream of a pool is to be sent requests.
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -252,6 +252,14 @@
     return worst;
 }
 
+std::optional<base::duration> fair_share::oldest_report_age(base::time_point now) const {
+    std::optional<base::duration> oldest;
+    for (const auto& [vm, report] : peers_) {
+        oldest = std::max(oldest.value_or(base::duration::zero()), now - report.received_at);
+    }
+    return oldest;
+}
+
 bool fair_share::exceeds_service_bound(const base::client_account_id& account) const {
     const auto found = fleet_.find(account);
     return found != fleet_.end() && found->second.served > service_bound_;
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -79,6 +79,10 @@
     /// Returns the account with the least share, for logs; empty if there is no account.
     [[nodiscard]] std::optional<worst_served_account> worst_served(base::time_point now) const;
 
+    /// Age of the oldest report of a peer that the sums contain; in a fleet with delegates, of the last
+    /// answer of the delegate. Empty if they contain none.
+    [[nodiscard]] std::optional<base::duration> oldest_report_age(base::time_point now) const;
+
 private:
     /// Costs, multiplied by `weight` of the time at which they were counted. Sums decay this way without any
     /// work.
--- a/src/dispatch/statements.cpp
+++ b/src/dispatch/statements.cpp
@@ -68,10 +68,16 @@
 /// What upstreams state counts only if one of them would have taken the request otherwise.
 dispatcher::placement_limit dispatcher::find_limit(const session& request,
                                                    const placement_options& options) const {
+    if (options.without_limits && admit(request, *options.without_limits)) {
+        return placement_limit::rate_limit;
+    }
     if (options.without_statements && admit(request, *options.without_statements)) {
-        return placement_limit::stated;
+        return placement_limit::pause;
+    }
+    if (options.best) {
+        return placement_limit::delay;
     }
-    return options.best ? placement_limit::delay : placement_limit::capacity;
+    return options.reachable ? placement_limit::capacity : placement_limit::unavailable;
 }
 
 bool dispatcher::refuse_if_paused(session& request) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -213,6 +213,8 @@
                      {"status", status},
                      {"cause", base::to_string(cause)},
                      {"account", account_of(request.api_key).value()},
+                     {"retry_after_ms",
+                      retry_after ? std::chrono::duration<double, std::milli>(*retry_after).count() : -1},
                      {"lag_ms", std::chrono::duration<double, std::milli>(saturation_.lag()).count()},
                      {"body_bytes", body_bytes_}});
     connection.answer(status, fields, base::to_string(cause));
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -330,6 +330,22 @@
     CHECK_FALSE(share.exceeds_service_bound(starved));
 }
 
+TEST_CASE("the age of the sums is that of the oldest report in them, and there is none without a report") {
+    const base::time_point now(std::chrono::hours(1));
+    const decision::account_work work{base::client_account_id("a"), base::cost(100), base::cost(100)};
+    fair_share share;
+    share.record_service(work.account, work.served, now);
+    CHECK_FALSE(share.oldest_report_age(now));
+    share.receive_report(base::vm_id("r2"), {work}, now);
+    share.receive_report(base::vm_id("r3"), {work}, now + milliseconds(40));
+    CHECK(share.oldest_report_age(now + milliseconds(50)) == milliseconds(50));
+    share.receive_report(base::vm_id("r2"), {work}, now + milliseconds(50));
+    CHECK(share.oldest_report_age(now + milliseconds(50)) == milliseconds(10));
+    share.drop_peer(base::vm_id("r2"));
+    share.drop_peer(base::vm_id("r3"));
+    CHECK_FALSE(share.oldest_report_age(now + milliseconds(50)));
+}
+
 TEST_CASE("no account is ahead of its share while capacity suffices") {
     const base::time_point now(std::chrono::hours(1));
     fair_share share;
@@ -509,7 +525,7 @@
     REQUIRE(router.ended(late)->retry_after);
     CHECK(*router.ended(late)->retry_after >= seconds(2));
     CHECK(router.value("ended/queue_full") > 0);
-    CHECK(router.value("ended/queue_full/stated") == 0);
+    CHECK(router.value("ended/queue_full/unavailable") == router.value("ended/queue_full"));
 }
 
 TEST_CASE("a slot that becomes free goes to a waiting request") {
@@ -931,6 +947,7 @@
     REQUIRE(router.ended(id)->retry_after);
     CHECK(*router.ended(id)->retry_after >= seconds(2));
     CHECK(*router.ended(id)->retry_after <= seconds(3));
+    CHECK(router.value("ended/queue_full/pause") == 1);
     SECTION("a pause that a request can wait for") {
         router.advance(milliseconds(2190));
         CHECK(router.sent(router.request("/look/1")) != nullptr);
@@ -1208,7 +1225,7 @@
     REQUIRE(router.ended(id) != nullptr);
     CHECK(router.ended(id)->status == 503);
     CHECK(router.ended(id)->retry_after);
-    CHECK(router.value("ended/queue_full/stated") == 1);
+    CHECK(router.value("ended/queue_full/rate_limit") == 1);
 }
 
 TEST_CASE("a refusal names the statement of an upstream only if that upstream had room for the request") {
@@ -1225,7 +1242,8 @@
     router.handle(upstream_stated{upstreams[0], 0, statement});
     const double refused = router.value("ended/queue_full");
     REQUIRE(refused > 0);
-    REQUIRE(router.value("ended/queue_full/stated") == 0);
+    const std::string counter = statement.pause ? "ended/queue_full/pause" : "ended/queue_full/rate_limit";
+    REQUIRE(router.value("ended/queue_full/capacity") == refused);
     const bool room = GENERATE(false, true);
     if (room) {
         for (const session_id id : first) {
@@ -1240,5 +1258,37 @@
     CHECK(router.sent(late) == nullptr);
     REQUIRE(router.ended(late) != nullptr);
     CHECK(router.value("ended/queue_full") == refused + 1);
-    CHECK(router.value("ended/queue_full/stated") == (room ? 1 : 0));
+    CHECK(router.value(counter) == (room ? 1 : 0));
+    CHECK(router.value("ended/queue_full/capacity") == refused + (room ? 0 : 1));
+}
+
+TEST_CASE(
+    "a refusal for another account's backlog or for a late first event is not put down to full engines") {
+    SECTION("the account is ahead of one that gets nothing") {
+        dispatcher_fixture router;
+        for (int i = 0; i < 30; ++i) {
+            router.advance(milliseconds(50));
+            router.handle(catalogue_read{nullptr, router.now()});
+            router.handle(requests_refused{{{base::client_account_id("b"), base::cost(50000)}}});
+            const session_id id = router.request("/text/1", "key-a", 20000, 1);
+            if (router.sent(id) != nullptr) {
+                router.handle(answer_started{id, 1});
+                router.finish(id, attempt_outcome::delivered);
+            }
+        }
+        router.advance(milliseconds(200));
+        const double refused = router.value("ended/queue_full/service");
+        const session_id late = router.request("/text/1", "key-a", 200, 2);
+        router.advance(milliseconds(200));
+        CHECK(router.sent(late) == nullptr);
+        CHECK(router.value("ended/queue_full/service") == refused + 1);
+    }
+    SECTION("the engine has much to read before") {
+        dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
+        REQUIRE(router.sent(router.request("/text/1", "key-a", 40000, 1)) != nullptr);
+        const session_id late = router.request("/text/1", "key-b", 200, 2);
+        router.advance(milliseconds(200));
+        CHECK(router.sent(late) == nullptr);
+        CHECK(router.value("ended/queue_full/delay") == 1);
+    }
 }
--- a/tests/explain_test.cpp
+++ b/tests/explain_test.cpp
@@ -10,7 +10,7 @@
 const char* const logs =
     R"(   1.0 r1 {"time":"2026-01-01T00:00:01.000Z","level":"info","process":"r1","module":"dispatcher","event":"configuration_in_force","version":7}
 {"time":"2026-01-01T00:00:04.000Z","level":"info","process":"r2","module":"dispatcher","event":"delivered","request":"abc","status":200}
-{"time":"2026-01-01T00:00:02.000Z","level":"info","process":"r1","module":"dispatcher","event":"ended","request":"abc","status":503,"cause":"queue_full"}
+{"time":"2026-01-01T00:00:02.000Z","level":"info","process":"r1","module":"dispatcher","event":"ended","request":"abc","status":503,"cause":"queue_full","limit":"rate_limit","position":1.25,"sums_age_ms":40.5,"retry_after_ms":2100.0}
 {"time":"2026-01-01T00:00:02.500Z","level":"info","process":"r1","module":"dispatcher","event":"ended","request":"other","status":503,"cause":"queue_full"}
 {"time":"2026-01-01T00:00:03.000Z","level":"info","process":"r3","module":"dispatcher","event":"configuration_in_force","version":9}
 not a log line
@@ -33,6 +33,12 @@
     REQUIRE(view != std::string::npos);
     REQUIRE(refused != std::string::npos);
     REQUIRE(delivered != std::string::npos);
+    for (const char* const field :
+         {"limit=\"rate_limit\"", "position=1.25", "sums_age_ms=40.5", "retry_after_ms=2100.0"}) {
+        const std::size_t found = text.find(field);
+        CHECK(found > refused);
+        CHECK(found < delivered);
+    }
     CHECK(view < refused);
     CHECK(refused < delivered);
     CHECK(text.find("version=9") == std::string::npos);
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -65,6 +65,7 @@
 }
 [ "$(status "http://127.0.0.1:$ops/ready")" = 503 ] || fail "ready without a configuration"
 [ "$(status "http://127.0.0.1:$callers/a/b")" = 503 ] || fail "a request without a configuration is not refused"
+[ "$(status -H Host: "http://127.0.0.1:$callers/a/b")" = 400 ] || fail "a request without a host is accepted"
 [ "$(status "http://127.0.0.1:$ops/metrics")" = 200 ] || fail "no metrics"
 grep -q '^bluebell_log_lines_dropped 0' "$work/body" || fail "no count of dropped lines"
 [ "$(status "http://127.0.0.1:$ops/dump")" = 200 ] || fail "no dump"
@@ -100,8 +101,14 @@
 [ $(($(date +%s) - start)) -le 6 ] || fail "the stop takes longer than its limit"
 python3 - "$work/log" <<'PY' || fail "a log line is not JSON or an event is missing"
 import json, sys
-events = [json.loads(line)["event"] for line in open(sys.argv[1])]
-for event in ("started", "store_failed", "ended", "reload_requested", "stop_requested", "draining", "stopped"):
+lines = [json.loads(line) for line in open(sys.argv[1])]
+events = [line["event"] for line in lines]
+for event in ("started", "store_failed", "ended", "refused", "reload_requested", "stop_requested", "draining", "stopped"):
     assert event in events, (event, events)
+for line in lines:
+    if line["event"] == "ended":
+        assert {"limit", "position", "sums_age_ms", "retry_after_ms"} <= line.keys(), line
+    if line["event"] == "refused":
+        assert "retry_after_ms" in line, line
 PY
 echo "platform.sh passed"
