Take a stated time of zero for no pause

An upstream that refuses with `Retry-After: 0` counted as one that states a pause: the log had `upstream_paused` with 0 ms and the dump `stated/pause`, and the relay reported each such answer to the dispatcher, though no request was held back by it.

Cause: the dialect did not tell zero from none. Now `upstream_statement::pause` is empty for it.

--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -100,7 +100,7 @@
 struct upstream_statement {
     /// It ends soon and takes no new requests.
     bool leaving = false;
-    /// Time for which it wants no request from this router; empty if it states none.
+    /// Time for which it wants no request from this router, more than zero; empty if it states none.
     std::optional<base::duration> pause;
     /// Requests that it takes from all routers together; empty if it states no limit.
     std::optional<base::request_rate> request_limit;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -440,6 +440,8 @@
     };
     CHECK(pause("2").pause == seconds(2));
     CHECK(pause("0.25").pause == milliseconds(250));
+    CHECK_FALSE(pause("0").pause);
+    CHECK_FALSE(pause("0").malformed);
     CHECK(pause("1e300").pause == std::chrono::hours(24));
     for (const char* const malformed : {"", "-1", "nan", "soon", "Fri, 04 Dec 2026 23:37:19 GMT"}) {
         CHECK_FALSE(pause(malformed).pause);
