--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -73,13 +73,15 @@
 
 private:
     enum class stage { queued, sent };
-    /// Why a request that waits was not placed.
+    /// Why a request was not placed when this was last tried.
     enum class placement_limit {
-        none,
-        capacity, ///< the best upstream has no slot or memory left for it
-        delay,    ///< its first event would come too late
-        service,  ///< its account is too far ahead of a backlogged one
-        stated,   ///< upstreams take no more requests now, by what they state
+        none,        ///< it was placed, or this was not tried
+        unavailable, ///< no upstream is ready, reachable and not yet tried
+        capacity,    ///< the best upstream has no slot or memory left for it
+        delay,       ///< its first event would come too late
+        service,     ///< its account is too far ahead of a backlogged one
+        rate_limit,  ///< the upstream that had room states a limit of its request rate
+        pause,       ///< the upstream that had room states that it wants a pause
     };
     static std::string_view to_string(placement_limit value);
     /// A request from its arrival to its end.
@@ -151,6 +153,8 @@
                                              const std::optional<base::duration>& caller_timeout);
     const base::pool_id& pick_pool(const route& matched);
     bool try_place(session& request);
+    /// What keeps a request, for which `options` has no choice that `admit` accepts, from being placed.
+    [[nodiscard]] placement_limit find_limit(const session& request, const placement_options& options) const;
     [[nodiscard]] bool admit(const session& request, const placement_choice& choice) const;
     [[nodiscard]] double fairness_factor(const session& request) const;
     [[nodiscard]] double capacity_share(const session& request, bool late) const;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -82,6 +82,25 @@
             {}};
 }
 
+/// The cheapest of the choices that were offered.
+class least_cost_choice {
+public:
+    void offer(const placement_choice& choice, base::duration cost) {
+        if (!best_ || cost < best_cost_) {
+            best_ = choice;
+            best_cost_ = cost;
+        }
+    }
+    /// Waiting for the best engine is better than reading a shared part again at another one.
+    [[nodiscard]] std::optional<placement_choice> unless_full() const {
+        return best_ && best_->full ? std::nullopt : best_;
+    }
+
+private:
+    std::optional<placement_choice> best_;
+    base::duration best_cost_{};
+};
+
 } // namespace
 
 void placement::set_catalogue(catalogue_ptr value) {
@@ -332,16 +351,21 @@
     return found == ready_.end() ? 0 : found->second.size();
 }
 
-std::optional<base::duration> placement::pause_of(const base::pool_id& pool, base::time_point now) const {
+std::optional<pool_pause> placement::pause_of(const base::pool_id& pool, base::time_point now) const {
     const auto found = ready_.find(pool);
     if (found == ready_.end()) {
         return std::nullopt;
     }
     base::time_point earliest = base::time_point::max();
+    bool stated = false;
     for (const candidate& ready_upstream : found->second) {
-        earliest = std::min(earliest, ready_upstream.state->down_until);
+        earliest = std::min(earliest, ready_upstream.state->available_at());
+        stated = stated || ready_upstream.state->down_until <= now;
+    }
+    if (earliest <= now) {
+        return std::nullopt;
     }
-    return std::max(earliest - now, base::duration::zero());
+    return pool_pause{earliest - now, stated};
 }
 
 double placement::engine_occupancy() const {
@@ -416,7 +440,7 @@
     for (const candidate& ready_engine : ready) {
         const token_count cached_tokens = expected_cached_tokens(request, *ready_engine.state, engine);
         holders.cached_tokens.push_back(cached_tokens);
-        if (!can_copy || now < ready_engine.state->down_until ||
+        if (!can_copy || now < ready_engine.state->available_at() ||
             ready_engine.state->failure_rate > max_copy_source_failure_rate) {
             continue;
         }
@@ -487,10 +511,10 @@
            static_cast<double>((total.memory_tokens + memory_tokens).value()) <= limit;
 }
 
-std::optional<placement_choice> placement::choose(const placement_request& request, base::time_point now) {
+placement_options placement::consider(const placement_request& request, base::time_point now) {
     const auto found = ready_.find(request.pool);
     if (found == ready_.end() || !catalogue_) {
-        return std::nullopt;
+        return {};
     }
     const engine_traits* const engine = catalogue_->engine(request.pool);
     const std::vector<candidate>& ready = found->second;
@@ -500,15 +524,20 @@
     const prefill_model& model = models_[request.pool];
     std::uniform_int_distribution<base::duration::rep> jitter(0, cost_jitter.count());
     const std::size_t sample_start = std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(random_);
-    std::optional<placement_choice> best;
-    base::duration best_cost{};
+    least_cost_choice best;
+    least_cost_choice without_limits;
+    least_cost_choice without_statements;
+    bool reachable = false;
     for (std::size_t i = 0; i < ready.size(); ++i) {
         const upstream_entry& entry = *ready[i].entry;
         const upstream_state& state = *ready[i].state;
         if ((request.excluded != nullptr && request.excluded->count(entry.id) != 0) ||
-            now < state.down_until || !limits_.may_send(entry.id, now)) {
+            now < state.down_until) {
             continue;
         }
+        reachable = true;
+        const bool paused = now < state.paused_until;
+        const bool limited = !limits_.may_send(entry.id, now);
         if (engine == nullptr &&
             !has_capacity(entry, state, engine, request.memory_tokens, request.capacity_share)) {
             continue;
@@ -542,13 +571,15 @@
         if (choice.full) {
             cost += full_engine_penalty;
         }
-        if (!best || cost < best_cost) {
-            best = choice;
-            best_cost = cost;
+        without_statements.offer(choice, cost);
+        if (!paused) {
+            without_limits.offer(choice, cost);
+        }
+        if (!paused && !limited) {
+            best.offer(choice, cost);
         }
     }
-    // Waiting for the best engine is better than reading a shared part again at another one.
-    return best && best->full ? std::nullopt : best;
+    return {best.unless_full(), without_limits.unless_full(), without_statements.unless_full(), reachable};
 }
 
 void placement::record_sent(const placement_choice& choice, const placed_work& work,
@@ -631,6 +662,11 @@
     state.down_until = std::max(state.down_until, now + time);
 }
 
+void placement::pause(const base::upstream_id& upstream, base::duration time, base::time_point now) {
+    upstream_state& state = states_[upstream];
+    state.paused_until = std::max(state.paused_until, now + time);
+}
+
 std::uint32_t placement::connection_limit(const base::pool_id& pool, std::size_t routers) const {
     const dispatch::pool* const found_pool = catalogue_ ? catalogue_->find(pool) : nullptr;
     const double usable_connections =
--- a/src/dispatch/statements.cpp
+++ b/src/dispatch/statements.cpp
@@ -57,7 +57,7 @@
     }
     const base::duration pause = std::min(*stated.statement.pause, longest_timeout);
     const double spread = std::uniform_real_distribution<double>(0, pause_spread)(random_);
-    placement_.avoid(stated.upstream, scaled(pause, 1 + spread), now_);
+    placement_.pause(stated.upstream, scaled(pause, 1 + spread), now_);
     ++counters_["stated/pause"];
     base::log_event(log_level::info, "dispatcher", "upstream_paused",
                     {{"upstream", stated.upstream.value()},
@@ -65,14 +65,32 @@
                      {"for_ms", to_ms(pause)}});
 }
 
+/// What upstreams state counts only if one of them would have taken the request otherwise.
+dispatcher::placement_limit dispatcher::find_limit(const session& request,
+                                                   const placement_options& options) const {
+    if (options.without_limits && admit(request, *options.without_limits)) {
+        return placement_limit::rate_limit;
+    }
+    if (options.without_statements && admit(request, *options.without_statements)) {
+        return placement_limit::pause;
+    }
+    if (options.best) {
+        return placement_limit::delay;
+    }
+    return options.reachable ? placement_limit::capacity : placement_limit::unavailable;
+}
+
 bool dispatcher::refuse_if_paused(session& request) {
-    const std::optional<base::duration> pause = placement_.pause_of(request.pool, now_);
-    if (!pause || *pause <= max_queue_time(request) - (now_ - request.arrived)) {
+    const std::optional<pool_pause> pause = placement_.pause_of(request.pool, now_);
+    if (!pause || pause->remaining <= max_queue_time(request) - (now_ - request.arrived)) {
         return false;
     }
-    request.limit = placement_limit::stated;
+    if (!pause->stated) {
+        refuse(request, error_code::queue_full);
+        return true;
+    }
     const double spread = std::uniform_real_distribution<double>(0, max_return_spread)(random_);
-    end_session(request, 503, error_code::queue_full, scaled(*pause, 1 + spread));
+    end_session(request, 503, error_code::queue_full, scaled(pause->remaining, 1 + spread));
     return true;
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -145,6 +145,17 @@
 
     [[nodiscard]] const std::vector<decision::datagram>& datagrams() const { return datagrams_; }
     dispatcher& decisions() { return decisions_; }
+    /// Value of the dump; zero if it is not there.
+    [[nodiscard]] double value(const std::string& name) {
+        for (const decision::state_section& section : decisions_.report(now_)) {
+            for (const decision::state_value& value : section.values) {
+                if (value.name == name) {
+                    return std::stod(value.json);
+                }
+            }
+        }
+        return 0;
+    }
     base::time_point now() const { return now_; }
 
 private:
@@ -319,6 +330,22 @@
     CHECK_FALSE(share.exceeds_service_bound(starved));
 }
 
+TEST_CASE("the age of the sums is that of the oldest report in them, and there is none without a report") {
+    const base::time_point now(std::chrono::hours(1));
+    const decision::account_work work{base::client_account_id("a"), base::cost(100), base::cost(100)};
+    fair_share share;
+    share.record_service(work.account, work.served, now);
+    CHECK_FALSE(share.oldest_report_age(now));
+    share.receive_report(base::vm_id("r2"), {work}, now);
+    share.receive_report(base::vm_id("r3"), {work}, now + milliseconds(40));
+    CHECK(share.oldest_report_age(now + milliseconds(50)) == milliseconds(50));
+    share.receive_report(base::vm_id("r2"), {work}, now + milliseconds(50));
+    CHECK(share.oldest_report_age(now + milliseconds(50)) == milliseconds(10));
+    share.drop_peer(base::vm_id("r2"));
+    share.drop_peer(base::vm_id("r3"));
+    CHECK_FALSE(share.oldest_report_age(now + milliseconds(50)));
+}
+
 TEST_CASE("no account is ahead of its share while capacity suffices") {
     const base::time_point now(std::chrono::hours(1));
     fair_share share;
@@ -453,6 +480,54 @@
     CHECK(refused >= 20);
 }
 
+TEST_CASE("a request that finds the queue full for its whole time names the capacity, not a statement, and "
+          "returns after the retry delay") {
+    const bool plain = GENERATE(false, true);
+    const std::string path = plain ? "/look/1" : "/text/1";
+    // A plain upstream takes several requests per slot.
+    dispatcher_fixture router({make_upstream("u1", plain ? plain_pool : model_pool, 1)});
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        router.request(path, "key-a", 200, 100 + i);
+    }
+    const session_id late = router.request(path, "key-a", 200, 200);
+    const base::time_point arrived = router.now();
+    REQUIRE(router.sent(late) == nullptr);
+    // The next pass over the queue then comes after more than the longest time, as in a running router.
+    router.advance(milliseconds(158));
+    CHECK(router.ended(late) == nullptr);
+    base::time_point ended_at;
+    while (router.ended(late) == nullptr && router.now() < arrived + seconds(1)) {
+        router.advance(milliseconds(5));
+        ended_at = router.now();
+    }
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(ended_at - arrived <= milliseconds(170));
+    REQUIRE(router.ended(late)->retry_after);
+    // A fifth of the time until the deadline, and a random part of up to a quarter of that.
+    CHECK(*router.ended(late)->retry_after >= seconds(2));
+    CHECK(*router.ended(late)->retry_after <= milliseconds(2500));
+    CHECK(router.value("ended/queue_full") > 0);
+    CHECK(router.value("ended/queue_full/capacity") == router.value("ended/queue_full"));
+}
+
+TEST_CASE("a pause that no upstream stated, after a refusal or a failed connection, is not called one") {
+    const attempt_outcome outcome = GENERATE(attempt_outcome::refused, attempt_outcome::unsent);
+    dispatcher_fixture router({make_upstream("p1", plain_pool, 1)});
+    const session_id first = router.request("/look/1");
+    while (router.sent(router.request("/look/1")) != nullptr) {
+    }
+    const session_id late = router.request("/look/1");
+    router.advance(milliseconds(145));
+    REQUIRE(router.ended(late) == nullptr);
+    router.finish(first, outcome);
+    router.advance(milliseconds(30));
+    REQUIRE(router.ended(late) != nullptr);
+    REQUIRE(router.ended(late)->retry_after);
+    CHECK(*router.ended(late)->retry_after >= seconds(2));
+    CHECK(router.value("ended/queue_full") > 0);
+    CHECK(router.value("ended/queue_full/unavailable") == router.value("ended/queue_full"));
+}
+
 TEST_CASE("a slot that becomes free goes to a waiting request") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 2)});
     const session_id first = router.request("/text/1", "key-a", 200, 1);
@@ -872,6 +947,7 @@
     REQUIRE(router.ended(id)->retry_after);
     CHECK(*router.ended(id)->retry_after >= seconds(2));
     CHECK(*router.ended(id)->retry_after <= seconds(3));
+    CHECK(router.value("ended/queue_full/pause") == 1);
     SECTION("a pause that a request can wait for") {
         router.advance(milliseconds(2190));
         CHECK(router.sent(router.request("/look/1")) != nullptr);
@@ -1149,4 +1225,70 @@
     REQUIRE(router.ended(id) != nullptr);
     CHECK(router.ended(id)->status == 503);
     CHECK(router.ended(id)->retry_after);
+    CHECK(router.value("ended/queue_full/rate_limit") == 1);
+}
+
+TEST_CASE("a refusal names the statement of an upstream only if that upstream had room for the request") {
+    const std::vector<base::upstream_id> upstreams{base::upstream_id("m1"), base::upstream_id("m2")};
+    dispatcher_fixture router({make_upstream("m1", model_pool, 2), make_upstream("m2", model_pool, 2)});
+    std::vector<session_id> first;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        first.push_back(router.request("/text/1", "key-a", 200, 100 + i));
+    }
+    router.advance(milliseconds(300));
+    const upstream_statement statement =
+        GENERATE(upstream_statement{false, std::nullopt, base::request_rate(0), false},
+                 upstream_statement{false, seconds(5), std::nullopt, false});
+    router.handle(upstream_stated{upstreams[0], 0, statement});
+    const double refused = router.value("ended/queue_full");
+    REQUIRE(refused > 0);
+    const std::string counter = statement.pause ? "ended/queue_full/pause" : "ended/queue_full/rate_limit";
+    REQUIRE(router.value("ended/queue_full/capacity") == refused);
+    const bool room = GENERATE(false, true);
+    if (room) {
+        for (const session_id id : first) {
+            if (router.sent(id) != nullptr && router.sent(id)->target.id == upstreams[0]) {
+                router.handle(answer_started{id, 1});
+                router.finish(id, attempt_outcome::delivered);
+            }
+        }
+    }
+    const session_id late = router.request("/text/1", "key-a", 200, 200);
+    router.advance(milliseconds(200));
+    CHECK(router.sent(late) == nullptr);
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(router.value("ended/queue_full") == refused + 1);
+    CHECK(router.value(counter) == (room ? 1 : 0));
+    CHECK(router.value("ended/queue_full/capacity") == refused + (room ? 0 : 1));
+}
+
+TEST_CASE(
+    "a refusal for another account's backlog or for a late first event is not put down to full engines") {
+    SECTION("the account is ahead of one that gets nothing") {
+        dispatcher_fixture router;
+        for (int i = 0; i < 30; ++i) {
+            router.advance(milliseconds(50));
+            router.handle(catalogue_read{nullptr, router.now()});
+            router.handle(requests_refused{{{base::client_account_id("b"), base::cost(50000)}}});
+            const session_id id = router.request("/text/1", "key-a", 20000, 1);
+            if (router.sent(id) != nullptr) {
+                router.handle(answer_started{id, 1});
+                router.finish(id, attempt_outcome::delivered);
+            }
+        }
+        router.advance(milliseconds(200));
+        const double refused = router.value("ended/queue_full/service");
+        const session_id late = router.request("/text/1", "key-a", 200, 2);
+        router.advance(milliseconds(200));
+        CHECK(router.sent(late) == nullptr);
+        CHECK(router.value("ended/queue_full/service") == refused + 1);
+    }
+    SECTION("the engine has much to read before") {
+        dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
+        REQUIRE(router.sent(router.request("/text/1", "key-a", 40000, 1)) != nullptr);
+        const session_id late = router.request("/text/1", "key-b", 200, 2);
+        router.advance(milliseconds(200));
+        CHECK(router.sent(late) == nullptr);
+        CHECK(router.value("ended/queue_full/delay") == 1);
+    }
 }
