Answer requests that are still open at the end of a planned stop

Callers of a router that was asked to stop, and whose request an upstream still ran when the grace was nearly over, got no answer: the connection was closed. That is so for requests that may not be repeated too, whose callers then know less than they could.

Cause: the dispatcher only reported itself as drained at the end of a stop. The relay was then stopped with the requests that it had.

Now the dispatcher ends every open request at drain_plan::answer_at: one that waits gets 503 (not run) with a time to come back, one that was handed to an upstream 504; a stream that has begun is cut.

Evidence: two new tests in dispatch_test.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -192,6 +192,10 @@
             end_session(found->second, 504, error_code::deadline_exceeded);
         }
     }
+    const std::optional<drain_plan> plan = stop_plan();
+    if (plan && now >= plan->answer_at()) {
+        answer_open_requests();
+    }
     if (now >= next_report_ ||
         (placement_.unreported_tokens() > early_report_tokens && now >= last_report_ + min_report_interval)) {
         last_report_ = now;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -144,6 +144,8 @@
     [[nodiscard]] bool fresh(base::time_point now) const;
     /// Returns the steps of the planned stop; empty if none was asked for.
     [[nodiscard]] std::optional<drain_plan> stop_plan() const;
+    /// Ends every request with what is known of it, since the process is about to end.
+    void answer_open_requests();
     [[nodiscard]] std::optional<base::error_code> check_access(const request_read& request,
                                                                const route& matched) const;
     base::duration estimate_earlier_attempts(const route& matched,
--- a/src/dispatch/drain.cpp
+++ b/src/dispatch/drain.cpp
@@ -5,10 +5,12 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace bluebell::dispatch {
 namespace {
 
+using base::error_code;
 using base::log_level;
 
 /// A load balancer removes a router after two missed readiness checks, which it makes a second apart. The
@@ -28,6 +30,8 @@
 constexpr base::duration max_answer_margin = std::chrono::seconds(1);
 /// Part of that time in which callers may take the rest of their answers; in the other part the process ends.
 constexpr int deliver_divisor = 2;
+/// Time after which callers that are refused during a stop are to return; another router takes them at once.
+constexpr base::duration return_time = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -57,4 +61,22 @@
     return plan && (now >= plan->answer_at() || (sessions_.empty() && now >= plan->refuse_until()));
 }
 
+/// A request that was handed to an upstream may have run, and its upstream has not answered in the time that
+/// was left.
+void dispatcher::answer_open_requests() {
+    std::vector<session_id> open;
+    open.reserve(sessions_.size());
+    for (const auto& [id, request] : sessions_) {
+        open.push_back(id);
+    }
+    for (const session_id id : open) {
+        session& request = sessions_.at(id);
+        if (request.state == stage::queued) {
+            end_session(request, 503, error_code::draining, return_time);
+        } else {
+            end_session(request, 504, error_code::draining);
+        }
+    }
+}
+
 } // namespace bluebell::dispatch
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -913,6 +913,16 @@
 
 namespace {
 
+/// Routes whose requests may take longer than a planned stop lasts, and whose queue holds them for 5.6 s.
+std::shared_ptr<catalogue> make_slow_catalogue() {
+    std::shared_ptr<catalogue> result = make_catalogue(2);
+    for (route& slow : result->routes) {
+        slow.timeout = seconds(15);
+        slow.objective = seconds(14);
+    }
+    return result;
+}
+
 /// Starts a planned stop with this time until the process is killed.
 void drain_with_grace(dispatcher_fixture& router, base::duration grace) {
     dispatcher_bounds bounds = dispatcher_fixture::settings().bounds;
@@ -923,6 +933,24 @@
 
 } // namespace
 
+TEST_CASE("a stop does not cut a request that an upstream still runs without an answer") {
+    dispatcher_fixture router;
+    router.handle(catalogue_read{make_slow_catalogue(), router.now()});
+    router.handle(decision::drain_requested{});
+    const session_id unsafe = router.request("/order/1");
+    const session_id stream = router.request("/text/1", "key-a");
+    REQUIRE(router.sent(unsafe) != nullptr);
+    REQUIRE(router.sent(stream) != nullptr);
+    router.advance(milliseconds(6700));
+    CHECK(router.ended(unsafe) == nullptr);
+    router.advance(milliseconds(500));
+    REQUIRE(router.ended(unsafe) != nullptr);
+    CHECK(router.ended(unsafe)->status == 504);
+    REQUIRE(router.ended(stream) != nullptr);
+    CHECK(router.ended(stream)->status == 504);
+    CHECK(router.decisions().drained(router.now()));
+}
+
 TEST_CASE(
     "a draining router accepts for two missed readiness checks, and not up to the limit of late requests") {
     dispatcher_fixture router;
@@ -952,6 +980,23 @@
     CHECK(router.ended(late)->status == 503);
 }
 
+TEST_CASE("a stop with a short grace ends no request before the last sixth of it, and all before its end") {
+    const base::duration grace = GENERATE(milliseconds(1000), milliseconds(2000), milliseconds(2500),
+                                          milliseconds(4000), milliseconds(5500));
+    CAPTURE(grace.count());
+    dispatcher_fixture router;
+    drain_with_grace(router, grace);
+    const session_id early = router.request("/order/1");
+    REQUIRE(router.sent(early) != nullptr);
+    router.advance(grace * 5 / 6 + milliseconds(5));
+    CHECK(router.ended(early) == nullptr);
+    CHECK_FALSE(router.decisions().drained(router.now()));
+    router.advance(grace / 12);
+    REQUIRE(router.ended(early) != nullptr);
+    CHECK(router.ended(early)->status == 504);
+    CHECK(router.decisions().drained(router.now()));
+}
+
 TEST_CASE("reports of other routers count against an engine's slots") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
     const decision::envelope first_message = greeting();
