Send no request in a planned stop that the rest of the grace is too short for

Callers whose request waited for an upstream, or was refused by one, during a stop saw it sent as late as the end of the grace, and then cut. Such a request may have run, so that a caller which must not repeat it has lost it.

Cause: only the acceptance looked at the stop. The queues and retries placed requests until the process ended.

Now each start of an attempt, and the acceptance, compares the time left until open requests are answered with what the request may need by its settings: a request that may not be repeated, or has a stream that can only be cut, needs all the time until its deadline, or as much as the stop leaves to those accepted last if the deadline is later than that. One that may be repeated, and a retry of one that may have run, needs its latency objective, since the alternative is a failure at once. What does not fit is refused as not run, to come back in 100 ms, while another router can still serve it; a retry that does not fit ends the request with what is known of it.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -325,8 +325,8 @@
     retry_budget_.count_first_attempt(created.pool, now_);
     limits_.record_request(created.pool, now_);
     const std::optional<drain_plan> plan = stop_plan();
-    if (plan && now_ > plan->accept_until()) {
-        return end_session(created, 503, error_code::draining, std::chrono::milliseconds(100));
+    if ((plan && now_ > plan->accept_until()) || !fits_into_stop(created)) {
+        return refuse_for_stop(created);
     }
     if (blocked(created)) {
         return end_session(created, 502, error_code::poison_request);
@@ -544,6 +544,10 @@
         int failures = 0;
         for (const auto& [relative_service, id] : order) {
             session& request = sessions_.at(id);
+            if (!fits_into_stop(request)) {
+                refuse_for_stop(request);
+                continue;
+            }
             if (failures < max_failures_per_pass && try_place(request)) {
                 continue;
             }
@@ -698,7 +702,7 @@
                                    ? request.route->kind == route_kind::streaming && request.route->resumable
                                    : request.route->repeatable();
     if ((!not_run && !may_run_again) || request.upstreams_used >= request.route->max_attempts ||
-        now_ + min_retry_time >= request.deadline || blocked(request)) {
+        now_ + min_retry_time >= request.deadline || !fits_into_stop(request) || blocked(request)) {
         return false;
     }
     placement_request placement_needs;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -144,6 +144,10 @@
     [[nodiscard]] bool fresh(base::time_point now) const;
     /// Returns the steps of the planned stop; empty if none was asked for.
     [[nodiscard]] std::optional<drain_plan> stop_plan() const;
+    /// Returns true unless a planned stop leaves the request too little time at an upstream.
+    [[nodiscard]] bool fits_into_stop(const session& request) const;
+    /// Refuses a request that no upstream has got; its caller may send it to another router at once.
+    void refuse_for_stop(session& request);
     /// Ends every request with what is known of it, since the process is about to end.
     void answer_open_requests();
     [[nodiscard]] std::optional<base::error_code> check_access(const request_read& request,
--- a/src/dispatch/drain.cpp
+++ b/src/dispatch/drain.cpp
@@ -61,6 +61,26 @@
     return plan && (now >= plan->answer_at() || (sessions_.empty() && now >= plan->refuse_until()));
 }
 
+/// An interrupted request that may be repeated costs its caller a retry, so that it is worth a try if the
+/// upstream can usually answer in time. Any other one is lost, so that it gets its whole time, or all the
+/// time that the stop leaves to requests that are accepted last.
+bool dispatcher::fits_into_stop(const session& request) const {
+    const std::optional<drain_plan> plan = stop_plan();
+    if (!plan) {
+        return true;
+    }
+    const base::duration longest = request.deadline - now_;
+    const base::duration usual = std::min(request.route->objective, longest);
+    const bool may_be_interrupted = request.route->kind == route_kind::safe || request.may_have_run;
+    const base::duration needed =
+        may_be_interrupted ? usual : std::max(usual, std::min(longest, plan->min_run_time()));
+    return now_ + needed <= plan->answer_at();
+}
+
+void dispatcher::refuse_for_stop(session& request) {
+    end_session(request, 503, error_code::draining, return_time);
+}
+
 /// A request that was handed to an upstream may have run, and its upstream has not answered in the time that
 /// was left.
 void dispatcher::answer_open_requests() {
@@ -72,7 +92,7 @@
     for (const session_id id : open) {
         session& request = sessions_.at(id);
         if (request.state == stage::queued) {
-            end_session(request, 503, error_code::draining, return_time);
+            refuse_for_stop(request);
         } else {
             end_session(request, 504, error_code::draining);
         }
