Answer the requests that the relay still holds when it stops

Callers whose request the dispatcher had not heard of yet, or had decided on just before, lost their connection without an answer when the relay stopped: at the end of a planned stop, and also when the dispatcher failed and the relay was started anew with it.

Cause: the relay left its loop at once, with orders in the ring and requests in progress, and closed every connection.

Now it first carries out the orders that end requests, starts no attempt any more, and ends what is left with what it knows: 503 (not run) with a time to come back if no byte can have reached an upstream, 504 otherwise; a stream that has begun is cut. It is the last one to know, so that this holds whatever the dispatcher has or has not decided.

Evidence: two new tests in relay_test got no byte before, and pass now; the third, that a stream which has begun is cut, passed before and guards it.

--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -81,6 +81,8 @@
     [[nodiscard]] bool closed() const { return !socket_.open(); }
     /// Returns true if the link is open and has no request.
     [[nodiscard]] bool idle() const { return !closed() && !busy_; }
+    /// Returns true while the connection is being established, so that nothing has been sent on it.
+    [[nodiscard]] bool connecting() const { return connecting_; }
     /// Returns true if the next request may be sent on this link. `must_not_repeat` is true for requests that
     /// must not run twice; they need more certainty that the upstream has not closed the connection.
     [[nodiscard]] bool usable(bool must_not_repeat, base::time_point now) const;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,6 +20,9 @@
 /// Minimum retry delay stated to callers whose requests are refused because the router is overloaded. Up to
 /// the same time is added at random.
 constexpr base::duration overload_retry_delay = std::chrono::milliseconds(20);
+/// Retry delay stated to callers whose requests are refused because the relay stops; another router can take
+/// them at once.
+constexpr base::duration stop_retry_delay = std::chrono::milliseconds(100);
 /// Minimum time between two passes that destroy closed connections.
 constexpr base::duration removal_interval = std::chrono::milliseconds(20);
 /// Interval of the reports on refused requests; each costs a wake-up of the dispatcher.
@@ -57,6 +60,7 @@
     });
     server_ = std::make_unique<server>(settings_.listen_address, settings_.max_callers, loop_,
                                        static_cast<request_handler&>(*this));
+    stopping_ = false;
     push_event(dispatch::relay_started{});
     while (!stop.requested()) {
         poller_.wait(wait_time());
@@ -67,6 +71,49 @@
         flush_events();
         remove_closed(clock_.now());
     }
+    answer_open_requests();
+}
+
+/// The dispatcher may have decided on some of the requests already. It cannot decide on those that it has not
+/// heard of yet, and on none if it has failed.
+void relay::answer_open_requests() {
+    stopping_ = true;
+    while (std::optional<dispatch::relay_command> queued = commands_.pop(base::duration::zero())) {
+        if (!std::holds_alternative<dispatch::send_request>(*queued)) {
+            std::visit([this](const auto& command) { execute(command); }, *queued);
+        }
+    }
+    std::vector<dispatch::session_id> open;
+    open.reserve(exchanges_.size());
+    for (const auto& [id, session] : exchanges_) {
+        open.push_back(id);
+    }
+    for (const dispatch::session_id id : open) {
+        const exchange* const session = find(id);
+        if (session == nullptr) {
+            continue;
+        }
+        dispatch::end_request command;
+        command.id = id;
+        command.cause = stop_cause();
+        if (reached_upstream(*session)) {
+            command.status = 504;
+        } else {
+            command.status = 503;
+            command.retry_after = stop_retry_delay;
+        }
+        execute(command);
+    }
+}
+
+bool relay::reached_upstream(const exchange& session) {
+    const bool connecting = session.upstream_link != nullptr && session.upstream_link->connecting();
+    return session.command.attempt > (connecting ? 1U : 0U);
+}
+
+base::error_code relay::stop_cause() const {
+    const std::shared_ptr<const dispatch::router_state> router = state_.current();
+    return router && router->draining ? base::error_code::draining : base::error_code::internal_failure;
 }
 
 void relay::update_saturation() {
@@ -95,7 +142,7 @@
 
 bool relay::closes_after_request() const {
     const std::shared_ptr<const dispatch::router_state> router = state_.current();
-    return overloaded_ || (router && router->draining) || (server_ && server_->nearly_full());
+    return stopping_ || overloaded_ || (router && router->draining) || (server_ && server_->nearly_full());
 }
 
 relay::exchange* relay::find(dispatch::session_id id) {
@@ -120,6 +167,9 @@
     if (!info) {
         return refuse(connection, request_info{}, 400, info.error().code);
     }
+    if (stopping_) {
+        return refuse(connection, *info, 503, stop_cause(), stop_retry_delay);
+    }
     const bool costly = needs_engine(info->host, head.target);
     if (saturation_.refuses(!costly)) {
         if (costly) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -101,6 +101,12 @@
     void on_answer_end(link& connection) override;
     void on_failure(link& connection, link_failure failure) override;
 
+    /// Ends every request that is still open with what is known of it.
+    void answer_open_requests();
+    /// Returns true if an upstream may have got the request.
+    [[nodiscard]] static bool reached_upstream(const exchange& session);
+    /// Why requests are refused or ended when the relay stops.
+    [[nodiscard]] base::error_code stop_cause() const;
     void execute_commands();
     void execute(const dispatch::send_request& command);
     void execute(const dispatch::release_answer& command);
@@ -172,6 +178,8 @@
     std::uint64_t last_session_id_ = 0;
     std::size_t body_bytes_ = 0;
     bool was_draining_ = false;
+    /// The relay has been told to stop and takes no more requests.
+    bool stopping_ = false;
     saturation saturation_;
     std::atomic<bool> overloaded_{false};
     /// Last report of what an upstream states about itself.
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -77,6 +77,16 @@
     ~router_fixture() { supervisor_.stop(); }
 
     wire connect_caller() { return wire::to(port_); }
+    /// Starts a planned stop and waits until the workers know of it.
+    void drain() {
+        events_.push(decision::drain_requested{}, seconds(1));
+        for (int i = 0; i < 400 && !state_.current()->draining; ++i) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        REQUIRE(state_.current()->draining);
+    }
+    /// Ends the workers, as the process does once the dispatcher says that it may stop.
+    void stop() { supervisor_.stop(); }
     fake_server& upstream(std::size_t i = 0) { return upstreams_.at(i); }
 
     [[nodiscard]] std::string metrics() const { return metrics_.text(); }
@@ -815,3 +825,45 @@
         REQUIRE(splitter.has_partial_event());
     }
 }
+
+TEST_CASE("a stop answers a request that an upstream still runs instead of closing its connection") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/order/1", "t1"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    router.drain();
+    router.stop();
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 504"));
+    CHECK(contains(answer, "X-Attempt-Id: t1"));
+    CHECK_FALSE(contains(answer, "Retry-After"));
+}
+
+TEST_CASE("a stop answers a request that never reached an upstream as not run") {
+    router_fixture router(1000, 0);
+    wire caller = router.connect_caller();
+    caller.send(request("/order/1", "t1"));
+    std::this_thread::sleep_for(milliseconds(50)); // less than a request waits for an upstream
+    router.stop();
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 503"));
+    CHECK(contains(answer, "X-Attempt-Id: t1"));
+    CHECK(contains(answer, "Retry-After"));
+}
+
+TEST_CASE("a stop cuts a stream that has begun, so that it does not look complete") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/text/1", "t1"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    upstream.send(stream_head("t1") + chunk("data: a\n\n"));
+    std::string received =
+        caller.read_until([](const std::string& text) { return contains(text, "data: a"); });
+    router.drain();
+    router.stop();
+    received += caller.read_to_end();
+    CHECK_FALSE(contains(received, "\r\n0\r\n"));
+    CHECK_FALSE(contains(received, "HTTP/1.1 504"));
+}
