Let slow callers take their answers before a stopping process ends

Callers that read slowly lost the rest of answers which were complete at the router: with the upstream's answer read to its end the request counted as over, the dispatcher said that the process may stop 3.2 s after the signal, and the relay closed the connection with bytes in its buffer.

Cause: neither the dispatcher nor the relay looked at unsent bytes when they stopped.

Now the dispatcher publishes until when callers may take the rest of their answers (drain_plan::deliver_until, between the time at which open requests are answered and the kill), and the relay keeps its loop until all bytes are taken or that time has come. Without a planned stop it still ends at once, since it is about to be started again.

Evidence: the new test in relay_test got 21 of 80 complete answers before, and gets all 80 now.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -61,6 +61,8 @@
     /// Returns true if load balancers should send requests to this router.
     [[nodiscard]] bool ready(base::time_point now) const;
     [[nodiscard]] bool draining() const { return drain_started_.has_value(); }
+    /// Returns the steps of the planned stop; empty if none was asked for.
+    [[nodiscard]] std::optional<drain_plan> stop_plan() const;
     /// Returns true if this router was asked to drain and may stop now.
     [[nodiscard]] bool drained(base::time_point now) const;
     /// State for the dump.
@@ -142,8 +144,6 @@
     void on(const decision::report_requested& request);
 
     [[nodiscard]] bool fresh(base::time_point now) const;
-    /// Returns the steps of the planned stop; empty if none was asked for.
-    [[nodiscard]] std::optional<drain_plan> stop_plan() const;
     /// Returns true unless a planned stop leaves the request too little time at an upstream.
     [[nodiscard]] bool fits_into_stop(const session& request) const;
     /// Refuses a request that no upstream has got; its caller may send it to another router at once.
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -76,12 +76,17 @@
     const bool ready = decisions.ready(now);
     const bool draining = decisions.draining();
     const bool drained = decisions.drained(now);
-    if (ready == published_.ready && draining == published_.draining && drained == published_.drained) {
+    const std::optional<drain_plan> plan = decisions.stop_plan();
+    const std::optional<base::time_point> deliver_until =
+        plan ? std::optional<base::time_point>(plan->deliver_until()) : std::nullopt;
+    if (ready == published_.ready && draining == published_.draining && drained == published_.drained &&
+        deliver_until == published_.deliver_until) {
         return;
     }
     published_.ready = ready;
     published_.draining = draining;
     published_.drained = drained;
+    published_.deliver_until = deliver_until;
     links_.state.publish(std::make_shared<router_state>(published_));
     base::log_event(base::log_level::info, "dispatcher", "state_changed",
                     {{"ready", ready}, {"draining", draining}, {"drained", drained}});
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace bluebell::dispatch {
@@ -18,6 +19,8 @@
     bool ready = false;
     bool draining = false;
     bool drained = false;
+    /// Until when callers may take the rest of their answers; empty unless the router was asked to stop.
+    std::optional<base::time_point> deliver_until;
 };
 
 /// The rings that join the dispatcher with the workers that carry out its decisions.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -72,6 +72,18 @@
         remove_closed(clock_.now());
     }
     answer_open_requests();
+    deliver_answers();
+}
+
+/// Without a planned stop, the callers get no time: the relay is needed again at once.
+void relay::deliver_answers() {
+    const std::shared_ptr<const dispatch::router_state> router = state_.current();
+    const base::time_point limit =
+        router && router->deliver_until ? *router->deliver_until : base::time_point::min();
+    while (server_->has_unsent() && clock_.now() < limit) {
+        poller_.wait(std::min(wait_time(), limit - clock_.now()));
+        timers_.run_expired(clock_.now());
+    }
 }
 
 /// The dispatcher may have decided on some of the requests already. It cannot decide on those that it has not
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -103,6 +103,8 @@
 
     /// Ends every request that is still open with what is known of it.
     void answer_open_requests();
+    /// Lets callers take the rest of their answers, for as long as a planned stop leaves time.
+    void deliver_answers();
     /// Returns true if an upstream may have got the request.
     [[nodiscard]] static bool reached_upstream(const exchange& session);
     /// Why requests are refused or ended when the relay stops.
--- a/src/relay/server.cpp
+++ b/src/relay/server.cpp
@@ -52,6 +52,12 @@
            static_cast<double>(max_callers_) * nearly_full_share;
 }
 
+bool server::has_unsent() const {
+    return std::any_of(callers_.begin(), callers_.end(), [](const std::unique_ptr<caller>& connection) {
+        return !connection->closed() && connection->unsent_bytes() > 0;
+    });
+}
+
 void server::evict_idle() {
     const base::time_point now = loop_.clock.now();
     std::vector<std::pair<base::time_point, caller*>> idle_callers;
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -34,6 +34,8 @@
     void close_idle();
     /// Stops listening; existing connections stay open.
     void close();
+    /// Returns true if a caller has not taken all bytes of its answers yet.
+    [[nodiscard]] bool has_unsent() const;
     /// Returns true if so many connections are open that each should be closed after its current request.
     [[nodiscard]] bool nearly_full() const;
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -6,6 +6,7 @@
 #include "relay/splitter.h"
 #include "wire.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -183,6 +184,15 @@
     return text.find(part) != std::string::npos;
 }
 
+/// Returns how often `part` occurs in `text`.
+std::size_t count_of(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("saturation refuses costly requests before cheap ones and outlasts the lag by the recovery time") {
@@ -867,3 +877,31 @@
     CHECK_FALSE(contains(received, "\r\n0\r\n"));
     CHECK_FALSE(contains(received, "HTTP/1.1 504"));
 }
+
+TEST_CASE("a stop does not cut answers that a slow caller has not taken yet") {
+    constexpr int count = 80;
+    const std::string body(200000, 'b'); // all answers together exceed the buffers of the sockets
+    router_fixture router;
+    wire caller = router.connect_caller();
+    std::string requests;
+    for (int i = 0; i < count; ++i) {
+        requests += request("/look/" + std::to_string(i), "t" + std::to_string(i));
+    }
+    caller.send(requests);
+    for (int i = 0; i < count; ++i) {
+        wire upstream = router.accept_any_upstream();
+        upstream.read_request();
+        upstream.send(ok_answer("t" + std::to_string(i), body, "Connection: close\r\n"));
+    }
+    while (!contains(router.metrics(), "outcome=\"delivered\"} " + std::to_string(count))) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    router.drain();
+    std::thread stopping([&router] { router.stop(); });
+    std::this_thread::sleep_for(milliseconds(200));
+    const std::string received = caller.read_to_end();
+    stopping.join();
+    CHECK(count_of(received, "HTTP/1.1 200") == count);
+    CHECK(static_cast<std::size_t>(std::count(received.begin(), received.end(), 'b')) >=
+          static_cast<std::size_t>(count) * body.size());
+}
