Do not answer a request that may have run with a status that denies it

Callers of bluebelld whose request an upstream had when the router stopped got 503 beside "Outcome: outcome_unknown". Clients and proxies that know the status only take 503 (and 429) for "not run" and send the request again.

Cause: the status followed from the error code alone, and `draining` is one that is otherwise used before anything is sent.

The status now follows from both: with an unknown outcome, 429 and 503 become 504 for a stop (the upstream had not answered in time) and 502 otherwise. A refusal of a stopping router carries Retry-After.

--- a/src/edge/answer.cpp
+++ b/src/edge/answer.cpp
@@ -52,6 +52,15 @@
     }
 }
 
+int http_status(base::error_code code, decision::outcome result) {
+    const int status = http_status(code);
+    const bool says_not_run = status == 429 || status == 503;
+    if (!says_not_run || result != decision::outcome::outcome_unknown) {
+        return status;
+    }
+    return code == base::error_code::draining ? 504 : 502;
+}
+
 std::string error_body(const base::error& cause, decision::outcome result, const base::request_id& id) {
     return "{\"error\":" + error_object(cause, result, id) + '}';
 }
--- a/src/edge/answer.h
+++ b/src/edge/answer.h
@@ -10,6 +10,9 @@
 
 /// Returns the HTTP status that reports an error to a caller.
 int http_status(base::error_code code);
+/// Returns the HTTP status that reports an error and what is known of the request to a caller. A status that
+/// says that the request did not run is returned only if that is so.
+int http_status(base::error_code code, decision::outcome result);
 
 /// Returns `{"error":{"code","message","field","outcome","request_id"}}`.
 std::string error_body(const base::error& cause, decision::outcome result, const base::request_id& id);
--- a/src/edge/responder.cpp
+++ b/src/edge/responder.cpp
@@ -27,6 +27,9 @@
 /// and the server use about 300 of them.
 constexpr std::size_t max_reply_field_bytes = 3500;
 constexpr std::size_t read_size = 16384;
+/// Time after which callers that are refused during a stop are to return, in whole seconds as the field
+/// requires. Another router takes them at once.
+constexpr std::chrono::seconds return_time(1);
 
 /// Thrown to end the connection. The server of cxxtools then writes an answer of its own unless the socket
 /// was shut down before.
@@ -300,11 +303,14 @@
 
 void caller_responder::write_error(const error& cause, outcome result, const base::request_id& id,
                                    std::ostream& out, cxxtools::http::Reply& reply) {
-    const int status = http_status(cause.code);
+    const int status = http_status(cause.code, result);
     reply.httpReturn(static_cast<unsigned>(status), std::string(reason_phrase(status)));
     reply.setHeader("Content-Type", "application/json");
     reply.setHeader("Outcome", std::string(decision::to_string(result)).c_str());
     reply.setHeader("Request-Id", base::to_hex(id.value()).c_str());
+    if (cause.code == error_code::draining && result == outcome::not_run) {
+        reply.setHeader("Retry-After", std::to_string(return_time.count()).c_str());
+    }
     out << error_body(cause, result, id);
 }
 
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -20,6 +20,9 @@
 constexpr const char* chat =
     R"({"model":"text","messages":[{"role":"user","content":"hello"}],"stream":true})";
 
+/// The same request for an answer that is not streamed.
+constexpr const char* whole_chat = R"({"model":"text","messages":[{"role":"user","content":"hello"}]})";
+
 class fixed_directory final : public edge::directory {
 public:
     fixed_directory() {
@@ -574,6 +577,27 @@
     REQUIRE(wait_until([&] { return fixture.decider->arrived_count == 1; }));
     std::future<void> stopped = std::async(std::launch::async, [&fixture] { fixture.tree.stop(); });
     CHECK(contains(client.read("\"outcome\":\"not_run\""), "\"code\":\"draining\""));
+    CHECK(contains(client.read("\"outcome\":\"not_run\""), "HTTP/1.1 503"));
+    CHECK(contains(client.read("\"outcome\":\"not_run\""), "Retry-After: 1"));
+    CHECK(stopped.wait_for(3s) == std::future_status::ready);
+}
+
+TEST_CASE(
+    "a stop does not answer a request that an upstream has got with a status that says it did not run") {
+    standin::engine_options engine;
+    engine.tokens = 10;
+    engine.token_time = 200ms;
+    edge::callers_options options;
+    options.stop_limit = 200ms;
+    edge_fixture fixture(engine, options);
+    test_caller client(fixture.address);
+    client.send("POST", "/v1/chat/completions", whole_chat);
+    REQUIRE(wait_until([&] { return fixture.decider->arrived_count == 1; }));
+    std::this_thread::sleep_for(300ms); // the request is at the upstream
+    std::future<void> stopped = std::async(std::launch::async, [&fixture] { fixture.tree.stop(); });
+    const std::string answer = client.read("\"code\":\"draining\"");
+    CHECK(contains(answer, "HTTP/1.1 504"));
+    CHECK(contains(answer, "Outcome: outcome_unknown"));
     CHECK(stopped.wait_for(3s) == std::future_status::ready);
 }
 
