Let no request wait again after the drain limit

Callers of a bluebelld router that was told to stop, whose upstream had not taken their request, saw it sent to another one after [drain] limit, when waiting requests are no longer served. It then ran into the end of the grace.

Cause: the limit refused the requests that waited at that moment, once. A request whose attempt ended later was queued and started as usual.

lifecycle keeps the refusal from then on, so that a retry, or a start that has to be repeated, ends with what is known: not_run if no upstream was reached, otherwise outcome_unknown.

Evidence: the new test in router_test failed before for both kinds of request (no verdict 7 s after the signal, with a limit of 5 s), and passes now.

--- a/src/decision/lifecycle.cpp
+++ b/src/decision/lifecycle.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr const char* stop_text = "the router stops before the request could start";
+
 /// Returns true if the upstream closed the connection during the attempt. Other causes of an interruption,
 /// such as a malformed answer, do not show that the upstream crashed.
 bool looks_like_crash(const attempt_end& result) {
@@ -60,6 +62,10 @@
 
 void lifecycle::enqueue(entry& tracked, base::time_point now) {
     const base::request_id id = tracked.attributes.id;
+    if (refusal_) {
+        finish_not_run(requests_.find(id), {*refusal_, "", stop_text}, now);
+        return;
+    }
     if (crash_table_.is_blocked(tracked.attributes.body_fingerprint, now)) {
         finish_not_run(requests_.find(id),
                        {error_code::poison_request, "", "upstreams crashed while they ran this request"},
@@ -247,6 +253,7 @@
 }
 
 void lifecycle::refuse_waiting(error_code code, base::time_point now) {
+    refusal_ = code;
     std::vector<base::request_id> waiting;
     for (const auto& [id, tracked] : requests_) {
         if (tracked.current_phase != phase::running) {
@@ -256,7 +263,7 @@
     for (const base::request_id& id : waiting) {
         const entry_map::iterator it = requests_.find(id);
         if (it != requests_.end()) {
-            finish_not_run(it, {code, "", "the router stops before the request could start"}, now);
+            finish_not_run(it, {code, "", stop_text}, now);
         }
     }
 }
--- a/src/decision/lifecycle.h
+++ b/src/decision/lifecycle.h
@@ -58,7 +58,8 @@
     /// Starts, refuses and forwards what the schedule decided.
     void apply(schedule_output& output, base::time_point now);
 
-    /// Refuses every request that is not dispatched, with `code`. Used when the drain limit has passed.
+    /// Refuses every request that is not dispatched, with `code`, and from now on every one that would have
+    /// to wait again. Used when the drain limit has passed.
     void refuse_waiting(base::error_code code, base::time_point now);
 
     /// Returns and clears the decisions made since the previous call.
@@ -99,6 +100,8 @@
     std::shared_ptr<const fleet_config> config_;
     entry_map requests_;
     std::size_t running_count_ = 0;
+    /// Why requests may not wait any more; empty before the drain limit.
+    std::optional<base::error_code> refusal_;
     lifecycle_output output_;
 };
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -494,6 +494,24 @@
     cluster.check();
 }
 
+TEST_CASE("a drain starts no request again after its limit") {
+    const bool keyed = GENERATE(false, true);
+    router_cluster cluster(1, 15);
+    cluster.service_time = 3s;
+    cluster.run_on_upstream = [](const dispatch&) { return attempt_status::not_sent; };
+    const sent_request sent = cluster.send(0, keyed ? std::optional<std::uint64_t>(1) : std::nullopt);
+    cluster.run(100ms);
+    cluster.deliver(0, drain_requested{}); // its limit is 5 s
+    cluster.run(3s);                       // the first attempt has ended, the second one runs
+    cluster.run_on_upstream = [](const dispatch&) { return attempt_status::completed; };
+    CHECK(sent.caller->finish_count == 0);
+    cluster.run(4s); // the second attempt has ended after the limit
+    CHECK(sent.caller->finish_count == 1);
+    CHECK(sent.caller->final_verdict.result == outcome::not_run);
+    CHECK(sent.caller->run_count == 0);
+    cluster.check();
+}
+
 TEST_CASE("a draining router serves its waiting requests before the limit") {
     router_cluster cluster(2, 14);
     for (std::uint64_t i = 0; i < 60; ++i) {
