--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Tests requests through a real router on the platform: configuration and upstreams from the store, keys, a new
-# configuration, an outage of the store, and the explanation of a request from the log.
+# configuration, an outage of the store, the explanation of a request from the log, and a planned stop.
 # Usage: platform_path.sh BUILD_DIR
 set -eu
 bin=$1/bin
@@ -103,4 +103,25 @@
 "$bin/bluebellctl" explain id-7 "$work/log" > "$work/explanation" || fail "a request is not explained"
 grep -q '\* ended .*cause="router_isolated"' "$work/explanation" || fail "the explanation does not contain the cause"
 grep -q 'store_failed' "$work/explanation" || fail "the explanation does not contain the outage of the store"
+# A planned stop whose grace is shorter than the running order takes.
+config 1 key-1 | python3 "$here/platform_peers.py" "$store" "$worker" > "$work/peers" 2>&1 &
+peers=$!
+until_status 5 listening cat "$work/peers"
+printf '[bounds]\nstop = 2s\n' >> "$work/settings.ini"
+"$bin/bluebelld-platform" --config "$work/settings.ini" > "$work/log" 2>&1 &
+router=$!
+until_status 5 200 ready
+order id-8 key-1 order/slow/1 > "$work/slow-status" &
+slow=$!
+until_status 2 1 curl -s "http://127.0.0.1:$store/test/runs"
+begin=$(date +%s%3N)
+kill -TERM "$router"
+until_status 1 503 ready
+wait "$slow" || fail "the running order has no answer"
+took=$(($(date +%s%3N) - begin))
+[ "$(cat "$work/slow-status")" = 504 ] || fail "the running order ends with $(cat "$work/slow-status")"
+wait "$router" || fail "the stop failed"
+router=
+[ "$took" -ge 1667 ] || fail "the running order is ended before the last sixth of the grace, after $took ms"
+[ "$took" -le 2000 ] || fail "the running order is answered after the grace, after $took ms"
 echo "platform_path.sh passed"
--- a/tests/platform_peers.py
+++ b/tests/platform_peers.py
@@ -2,7 +2,7 @@
 
 Usage: platform_peers.py STORE_PORT WORKER_PORT. Reads the configuration from standard input. The store serves it and
 the worker's entry from the start. `POST /test/config` replaces the configuration, `GET /test/runs` returns the
-number of requests that the worker ran.
+number of requests that the worker ran. The worker takes 10 s for a path with `/slow/`.
 """
 import http.server
 import json
@@ -82,6 +82,8 @@
         if self.headers.get("X-Expect-Instance") != "i-1":
             return self.reply(421, b"", [("X-Instance-Id", "i-1")])
         runs.append(self.headers.get("X-Attempt-Id"))
+        if "/slow/" in self.path:
+            time.sleep(10)
         self.reply(200, ("ran for " + self.headers.get("X-Tenant", "nobody")).encode(),
                    [("X-Attempt-Id", self.headers.get("X-Attempt-Id", "")), ("X-Response-Seal", "seal")])
 
