Tell callers whose retry does not fit into a stop to return at once

Callers of a stopping router whose request was refused by an upstream, too late to be sent once more, were told to return after a fifth of their whole time or more, as if all upstreams were overloaded. Another router can serve them at once.

Cause: such a request ended like one for which no upstream is left. It now ends like every other that the stop refuses, with 100 ms.

Evidence: the added check in dispatch_test failed before and passes now.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -687,7 +687,9 @@
     if (retry(request, attempt)) {
         return;
     }
-    if (!request.may_have_run) {
+    if (!request.may_have_run && !fits_into_stop(request)) {
+        refuse_for_stop(request);
+    } else if (!request.may_have_run) {
         refuse(request, error_code::upstream_refused_connection);
     } else {
         end_session(request, 502, error_code::upstream_closed_connection);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -983,6 +983,7 @@
     CHECK(router.sent(not_run)->attempt == 1);
     REQUIRE(router.ended(not_run) != nullptr);
     CHECK(router.ended(not_run)->status == 503);
+    CHECK(router.ended(not_run)->retry_after == milliseconds(100)); // another router takes it at once
     CHECK(router.sent(broken)->attempt == 1);
     REQUIRE(router.ended(broken) != nullptr);
     CHECK(router.ended(broken)->status == 502);
