--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -196,6 +196,10 @@
             end_session(found->second, 504, error_code::deadline_exceeded);
         }
     }
+    const std::optional<drain_plan> plan = stop_plan();
+    if (plan && now >= plan->answer_at()) {
+        answer_open_requests();
+    }
     if (now >= next_report_ ||
         (placement_.unreported_tokens() > early_report_tokens && now >= last_report_ + min_report_interval)) {
         last_report_ = now;
@@ -235,6 +239,11 @@
     if (!deadlines_.empty()) {
         due = std::min(due, deadlines_.begin()->first);
     }
+    if (const std::optional<drain_plan> plan = stop_plan()) {
+        for (const base::time_point step : {plan->refuse_until(), plan->answer_at()}) {
+            due = step > now_ ? std::min(due, step) : due;
+        }
+    }
     const bool waiting =
         std::any_of(queues_.begin(), queues_.end(), [](const auto& queue) { return !queue.second.empty(); });
     if (waiting) {
@@ -262,14 +271,6 @@
     return fresh(now) || !peer || now - *peer > bounds_.max_confirmation_age;
 }
 
-bool dispatcher::drained(base::time_point now) const {
-    if (!drain_started_) {
-        return false;
-    }
-    const base::duration since = now - *drain_started_;
-    return since >= bounds_.max_drain_time || (sessions_.empty() && since >= settings_.min_drain_time);
-}
-
 std::optional<error_code> dispatcher::check_access(const request_read& request, const route& matched) const {
     if (matched.anonymous) {
         return std::nullopt;
@@ -327,8 +328,9 @@
     created.memory_tokens = request.prompt.prompt_tokens + expected_output(request.prompt);
     retry_budget_.count_first_attempt(created.pool, now_);
     limits_.record_request(created.pool, now_);
-    if (drain_started_ && now_ - *drain_started_ > settings_.drain_accept_time) {
-        return end_session(created, 503, error_code::draining, std::chrono::milliseconds(100));
+    const std::optional<drain_plan> plan = stop_plan();
+    if ((plan && now_ > plan->accept_until()) || !fits_into_stop(created)) {
+        return refuse_for_stop(created);
     }
     if (blocked(created)) {
         return end_session(created, 502, error_code::poison_request);
@@ -542,6 +544,10 @@
         int failures = 0;
         for (const auto& [relative_service, id] : order) {
             session& request = sessions_.at(id);
+            if (!fits_into_stop(request)) {
+                refuse_for_stop(request);
+                continue;
+            }
             if (failures < max_failures_per_pass && try_place(request)) {
                 continue;
             }
@@ -682,7 +688,9 @@
     if (retry(request, attempt)) {
         return;
     }
-    if (!request.may_have_run) {
+    if (!request.may_have_run && !fits_into_stop(request)) {
+        refuse_for_stop(request);
+    } else if (!request.may_have_run) {
         refuse(request, error_code::upstream_refused_connection);
     } else {
         end_session(request, 502, error_code::upstream_closed_connection);
@@ -697,7 +705,7 @@
                                    ? request.route->kind == route_kind::streaming && request.route->resumable
                                    : request.route->repeatable();
     if ((!not_run && !may_run_again) || request.upstreams_used >= request.route->max_attempts ||
-        now_ + min_retry_time >= request.deadline || blocked(request)) {
+        now_ + min_retry_time >= request.deadline || !fits_into_stop(request) || blocked(request)) {
         return false;
     }
     placement_request placement_needs;
@@ -952,14 +960,6 @@
     return members_.knows_peers() ? members_.members().size() : assumed_fleet_size;
 }
 
-void dispatcher::on(const decision::drain_requested& /*request*/) {
-    if (!drain_started_) {
-        drain_started_ = now_;
-        members_.announce_leaving(now_);
-        base::log_event(log_level::info, "dispatcher", "draining", {{"sessions", sessions_.size()}});
-    }
-}
-
 void dispatcher::on(const decision::report_requested& request) {
     request.reply->try_push(report(now_));
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "decision/retry.h"
 #include "dispatch/attribution.h"
 #include "dispatch/delegation.h"
+#include "dispatch/drain.h"
 #include "dispatch/event.h"
 #include "dispatch/placement.h"
 #include "dispatch/share.h"
@@ -28,10 +29,6 @@
     /// Processor time of this VM, in cores.
     double cpu_cores = 1;
     dispatcher_bounds bounds;
-    /// How long a draining router still accepts requests, so that load balancers notice in time.
-    base::duration drain_accept_time = std::chrono::milliseconds(3000);
-    /// Shortest time that a draining router keeps running.
-    base::duration min_drain_time = std::chrono::milliseconds(3200);
     std::uint64_t seed = 1;
 };
 
@@ -64,6 +61,8 @@
     /// Returns true if load balancers should send requests to this router.
     [[nodiscard]] bool ready(base::time_point now) const;
     [[nodiscard]] bool draining() const { return drain_started_.has_value(); }
+    /// Returns the steps of the planned stop; empty if none was asked for.
+    [[nodiscard]] std::optional<drain_plan> stop_plan() const;
     /// Returns true if this router was asked to drain and may stop now.
     [[nodiscard]] bool drained(base::time_point now) const;
     /// State for the dump.
@@ -147,6 +146,12 @@
     void on(const decision::report_requested& request);
 
     [[nodiscard]] bool fresh(base::time_point now) const;
+    /// Returns true unless a planned stop leaves the request too little time at an upstream.
+    [[nodiscard]] bool fits_into_stop(const session& request) const;
+    /// Refuses a request that no upstream has got; its caller may send it to another router at once.
+    void refuse_for_stop(session& request);
+    /// Ends every request with what is known of it, since the process is about to end.
+    void answer_open_requests();
     [[nodiscard]] std::optional<base::error_code> check_access(const request_read& request,
                                                                const route& matched) const;
     base::duration estimate_earlier_attempts(const route& matched,
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -987,6 +987,143 @@
     CHECK(router.decisions().drained(router.now()));
 }
 
+namespace {
+
+/// Routes whose requests may take longer than a planned stop lasts, and whose queue holds them for 1.6 s.
+std::shared_ptr<catalogue> make_slow_catalogue() {
+    std::shared_ptr<catalogue> result = make_catalogue(2);
+    for (route& slow : result->routes) {
+        slow.timeout = seconds(15);
+        slow.objective = seconds(4);
+    }
+    return result;
+}
+
+/// Starts a planned stop with this time until the process is killed.
+void drain_with_grace(dispatcher_fixture& router, base::duration grace) {
+    dispatcher_bounds bounds = dispatcher_fixture::settings().bounds;
+    bounds.grace = grace;
+    router.handle(bounds);
+    router.handle(decision::drain_requested{});
+}
+
+} // namespace
+
+TEST_CASE("a stop does not cut a request that an upstream still runs without an answer") {
+    dispatcher_fixture router;
+    router.handle(catalogue_read{make_slow_catalogue(), router.now()});
+    router.handle(decision::drain_requested{});
+    const session_id unsafe = router.request("/order/1");
+    const session_id stream = router.request("/text/1", "key-a");
+    REQUIRE(router.sent(unsafe) != nullptr);
+    REQUIRE(router.sent(stream) != nullptr);
+    router.advance(milliseconds(6700));
+    CHECK(router.ended(unsafe) == nullptr);
+    router.advance(milliseconds(500));
+    REQUIRE(router.ended(unsafe) != nullptr);
+    CHECK(router.ended(unsafe)->status == 504);
+    REQUIRE(router.ended(stream) != nullptr);
+    CHECK(router.ended(stream)->status == 504);
+    CHECK(router.decisions().drained(router.now()));
+}
+
+TEST_CASE("a request that waits is not sent when too little of the grace is left, but refused as not run") {
+    dispatcher_fixture router({make_upstream("p1", plain_pool, 1)});
+    router.handle(catalogue_read{make_slow_catalogue(), router.now()});
+    router.handle(decision::drain_requested{});
+    router.advance(milliseconds(2300));
+    const session_id first = router.request("/order/1");
+    router.request("/order/2");
+    router.request("/order/3");
+    const session_id waiting = router.request("/order/4");
+    REQUIRE(router.sent(first) != nullptr);
+    REQUIRE(router.sent(waiting) == nullptr);
+    REQUIRE(router.ended(waiting) == nullptr);
+    router.advance(milliseconds(1200));
+    router.finish(first, attempt_outcome::delivered);
+    router.advance(milliseconds(50));
+    CHECK(router.sent(waiting) == nullptr);
+    REQUIRE(router.ended(waiting) != nullptr);
+    CHECK(router.ended(waiting)->status == 503);
+    CHECK(router.ended(waiting)->retry_after);
+}
+
+TEST_CASE("a request is not sent once more when too little of the grace is left") {
+    dispatcher_fixture router;
+    router.handle(decision::drain_requested{});
+    const session_id not_run = router.request("/order/1");
+    const session_id broken = router.request("/look/1");
+    router.advance(milliseconds(6800));
+    router.finish(not_run, attempt_outcome::refused, 503);
+    router.finish(broken, attempt_outcome::lost, 0);
+    CHECK(router.sent(not_run)->attempt == 1);
+    REQUIRE(router.ended(not_run) != nullptr);
+    CHECK(router.ended(not_run)->status == 503);
+    CHECK(router.ended(not_run)->retry_after == milliseconds(100)); // another router takes it at once
+    CHECK(router.sent(broken)->attempt == 1);
+    REQUIRE(router.ended(broken) != nullptr);
+    CHECK(router.ended(broken)->status == 502);
+}
+
+TEST_CASE(
+    "a draining router accepts for two missed readiness checks, and not up to the limit of late requests") {
+    dispatcher_fixture router;
+    router.handle(decision::drain_requested{});
+    router.advance(milliseconds(2400));
+    CHECK(router.sent(router.request("/order/1")) != nullptr);
+    router.advance(milliseconds(400));
+    const session_id late = router.request("/order/2");
+    CHECK(router.sent(late) == nullptr);
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(router.ended(late)->status == 503);
+    CHECK(router.ended(late)->retry_after);
+}
+
+TEST_CASE("a stop with a short grace accepts no request in its second half") {
+    const base::duration grace = GENERATE(milliseconds(1000), milliseconds(2000), milliseconds(2500),
+                                          milliseconds(4000), milliseconds(5500));
+    CAPTURE(grace.count());
+    dispatcher_fixture router;
+    drain_with_grace(router, grace);
+    router.advance(grace / 4);
+    CHECK(router.sent(router.request("/order/1")) != nullptr);
+    router.advance(grace / 4);
+    const session_id late = router.request("/order/2");
+    CHECK(router.sent(late) == nullptr);
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(router.ended(late)->status == 503);
+}
+
+TEST_CASE("a stop with a short grace ends no request before the last sixth of it, and all before its end") {
+    const base::duration grace = GENERATE(milliseconds(1000), milliseconds(2000), milliseconds(2500),
+                                          milliseconds(4000), milliseconds(5500));
+    CAPTURE(grace.count());
+    dispatcher_fixture router;
+    drain_with_grace(router, grace);
+    const session_id early = router.request("/order/1");
+    REQUIRE(router.sent(early) != nullptr);
+    router.advance(grace * 5 / 6 + milliseconds(5));
+    CHECK(router.ended(early) == nullptr);
+    CHECK_FALSE(router.decisions().drained(router.now()));
+    router.advance(grace / 12);
+    REQUIRE(router.ended(early) != nullptr);
+    CHECK(router.ended(early)->status == 504);
+    CHECK(router.decisions().drained(router.now()));
+}
+
+TEST_CASE("a router that handles the signal to stop late counts the grace from the signal") {
+    dispatcher_fixture router;
+    const session_id running = router.request("/order/1");
+    const base::time_point signalled_at = router.now();
+    router.advance(milliseconds(1500));
+    router.handle(decision::drain_requested{signalled_at});
+    router.advance(milliseconds(1200));
+    CHECK(router.sent(router.request("/order/2")) == nullptr);
+    router.advance(milliseconds(4400));
+    REQUIRE(router.ended(running) != nullptr);
+    CHECK(router.decisions().drained(router.now()));
+}
+
 TEST_CASE("reports of other routers count against an engine's slots") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
     const decision::envelope first_message = greeting();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -6,6 +6,7 @@
 #include "relay/splitter.h"
 #include "wire.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -77,6 +78,16 @@
     ~router_fixture() { supervisor_.stop(); }
 
     wire connect_caller() { return wire::to(port_); }
+    /// Starts a planned stop and waits until the workers know of it.
+    void drain() {
+        events_.push(decision::drain_requested{}, seconds(1));
+        for (int i = 0; i < 400 && !state_.current()->draining; ++i) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        REQUIRE(state_.current()->draining);
+    }
+    /// Ends the workers, as the process does once the dispatcher says that it may stop.
+    void stop() { supervisor_.stop(); }
     fake_server& upstream(std::size_t i = 0) { return upstreams_.at(i); }
 
     [[nodiscard]] std::string metrics() const { return metrics_.text(); }
@@ -173,6 +184,15 @@
     return text.find(part) != std::string::npos;
 }
 
+/// Returns how often `part` occurs in `text`.
+std::size_t count_of(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("saturation refuses costly requests before cheap ones and outlasts the lag by the recovery time") {
@@ -817,3 +837,73 @@
         REQUIRE(splitter.has_partial_event());
     }
 }
+
+TEST_CASE("a stop answers a request that an upstream still runs instead of closing its connection") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/order/1", "t1"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    router.drain();
+    router.stop();
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 504"));
+    CHECK(contains(answer, "X-Attempt-Id: t1"));
+    CHECK_FALSE(contains(answer, "Retry-After"));
+}
+
+TEST_CASE("a stop answers a request that never reached an upstream as not run") {
+    router_fixture router(1000, 0);
+    wire caller = router.connect_caller();
+    caller.send(request("/order/1", "t1"));
+    std::this_thread::sleep_for(milliseconds(50)); // less than a request waits for an upstream
+    router.stop();
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 503"));
+    CHECK(contains(answer, "X-Attempt-Id: t1"));
+    CHECK(contains(answer, "Retry-After"));
+}
+
+TEST_CASE("a stop cuts a stream that has begun, so that it does not look complete") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/text/1", "t1"));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_request();
+    upstream.send(stream_head("t1") + chunk("data: a\n\n"));
+    std::string received =
+        caller.read_until([](const std::string& text) { return contains(text, "data: a"); });
+    router.drain();
+    router.stop();
+    received += caller.read_to_end();
+    CHECK_FALSE(contains(received, "\r\n0\r\n"));
+    CHECK_FALSE(contains(received, "HTTP/1.1 504"));
+}
+
+TEST_CASE("a stop does not cut answers that a slow caller has not taken yet") {
+    constexpr int count = 80;
+    const std::string body(200000, 'b'); // all answers together exceed the buffers of the sockets
+    router_fixture router;
+    wire caller = router.connect_caller();
+    std::string requests;
+    for (int i = 0; i < count; ++i) {
+        requests += request("/look/" + std::to_string(i), "t" + std::to_string(i));
+    }
+    caller.send(requests);
+    for (int i = 0; i < count; ++i) {
+        wire upstream = router.accept_any_upstream();
+        upstream.read_request();
+        upstream.send(ok_answer("t" + std::to_string(i), body, "Connection: close\r\n"));
+    }
+    while (!contains(router.metrics(), "outcome=\"delivered\"} " + std::to_string(count))) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    router.drain();
+    std::thread stopping([&router] { router.stop(); });
+    std::this_thread::sleep_for(milliseconds(200));
+    const std::string received = caller.read_to_end();
+    stopping.join();
+    CHECK(count_of(received, "HTTP/1.1 200") == count);
+    CHECK(static_cast<std::size_t>(std::count(received.begin(), received.end(), 'b')) >=
+          static_cast<std::size_t>(count) * body.size());
+}
