--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -25,6 +25,37 @@
            R"("zone":"z","slots":4,"state":"ready")" + extra_fields + "}}";
 }
 
+/// An array or object of `levels` levels.
+std::string nested(const std::string& opening, const std::string& innermost, const std::string& closing,
+                   int levels) {
+    std::string text;
+    for (int i = 0; i < levels; ++i) {
+        text += opening;
+    }
+    text += innermost;
+    for (int i = 0; i < levels; ++i) {
+        text += closing;
+    }
+    return text;
+}
+
+/// Objects named `odd` that are nested too deeply, each in another field.
+std::vector<std::string> deep_objects() {
+    constexpr int levels = 100000;
+    const std::string array = nested("[", "", "]", levels);
+    const std::string object = nested(R"({"a":)", "1", "}", levels);
+    std::vector<std::string> odd;
+    for (const std::string& deep : {array, object}) {
+        odd.push_back(upstream_object("odd", R"(,"extra":)" + deep));
+        odd.push_back(R"({"metadata":{"name":"odd","extra":)" + deep + R"(},"spec":{"service":"s"}})");
+        odd.push_back(R"({"metadata":{"name":"odd"},"spec":)" + deep + "}");
+        odd.push_back(R"({"metadata":)" + deep + R"(,"spec":{"service":"s"}})");
+        odd.push_back(R"({"metadata":{"name":)" + deep + R"(},"spec":{"service":"s"}})");
+        odd.push_back(deep);
+    }
+    return odd;
+}
+
 /// Server with scripted answers, and a client of it.
 struct fixture {
     fake_server server;
@@ -110,6 +141,25 @@
     CHECK_FALSE(result->changes[1].entry.has_value());
 }
 
+TEST_CASE("an object that is nested too deeply, in any field, does not end the process") {
+    for (const std::string& odd : deep_objects()) {
+        fixture store;
+        bool returned = false;
+        store.serve({answer(200, R"({"entries":[)" + odd + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"events":[{"deleted":false,"object":)" + odd + R"(}],"at":12})"),
+                     answer(200, R"({"entries":[)" + odd + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"entries":[)" + odd + R"(],"has_more":false,"at":7})")},
+                    [&] {
+                        store.client.read_upstreams(true);
+                        store.client.await_upstreams(store::position(7), milliseconds(10));
+                        store.client.read_routers(true);
+                        store.client.read_catalogue(true);
+                        returned = true;
+                    });
+        CHECK(returned);
+    }
+}
+
 TEST_CASE("each failure of the store has its own error code") {
     const std::vector<std::pair<std::string, base::error_code>> cases{
         {answer(410, "{}"), base::error_code::store_history_lost},
