Read each object of the store apart, so that one cannot hide the others

Seen: a number too large for a double, bytes that are no UTF-8, or any other text that is not JSON in one object made the whole answer unreadable. The router reported store_malformed, read the list again, and followed neither upstreams nor configuration until the object was gone. An answer that is JSON but not an object ended the process (SIGABRT, an exception of nlohmann::json).

Cause: the answer was parsed as one JSON text, and its members were read without a check that the answer is an object.

The answer is now split into the texts of its objects by strings and brackets alone; each object's name and value are parsed apart, with a limit of depth. An object that cannot be read is logged with its cause and left out; a change of a named one takes the upstream out of use. An answer without a list or a valid position is an error, so that it is not taken for an empty list.

An object whose own quotes or brackets are not closed still makes the answer unreadable, since nothing then tells where the next one begins.

--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -56,6 +56,27 @@
     return odd;
 }
 
+/// Objects named `odd` whose text is not valid JSON, or has a number that no parser can represent.
+std::vector<std::string> unreadable_objects() {
+    const std::vector<std::string> values{
+        "1e999",  "-1e999",  std::string(400, '9'), "Infinity", "NaN",    "01",  "+1", "tru", "\"\xff\xfe\"",
+        "\"\n\"", "\"\\x\"", "\"\\ud800\"",         "[}",       "[1,,2]", "\xff"};
+    std::vector<std::string> odd;
+    for (const std::string& value : values) {
+        odd.push_back(upstream_object("odd", R"(,"extra":)" + value));
+        odd.push_back(R"({"metadata":{"name":"odd","extra":)" + value + R"(},"spec":)" + value + "}");
+        odd.push_back(R"({"metadata":)" + value + R"(,"spec":{"service":"s"}})");
+        odd.push_back(R"({"metadata":{"name":)" + value + R"(},"spec":{"service":"s"}})");
+        odd.push_back(value);
+    }
+    return odd;
+}
+
+/// Returns whether the text has `odd` as the name of an object in one of the places where it can be read.
+bool has_readable_name(const std::string& object) {
+    return object.rfind(R"({"metadata":{"name":"odd")", 0) == 0;
+}
+
 /// Server with scripted answers, and a client of it.
 struct fixture {
     fake_server server;
@@ -160,6 +181,85 @@
     }
 }
 
+TEST_CASE("an object that cannot be read hides no other object of a list or watch") {
+    std::vector<std::string> objects = deep_objects();
+    const std::vector<std::string> unreadable = unreadable_objects();
+    objects.insert(objects.end(), unreadable.begin(), unreadable.end());
+    for (const std::string& odd : objects) {
+        CAPTURE(odd.substr(0, 200));
+        fixture store;
+        base::result<store::roster_reading> listed;
+        base::result<store::roster_changes> changed;
+        const auto event = [](const std::string& object) {
+            return R"({"deleted":false,"object":)" + object + "}";
+        };
+        store.serve({answer(200, R"({"entries":[)" + upstream_object("a") + "," + odd + "," +
+                                     upstream_object("b") + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"events":[)" + event(upstream_object("a")) + "," + event(odd) + "," +
+                                     event(upstream_object("b")) + R"(],"at":12})")},
+                    [&] {
+                        listed = store.client.read_upstreams(true);
+                        changed = store.client.await_upstreams(store::position(7), milliseconds(10));
+                    });
+        REQUIRE(listed);
+        CHECK(listed->as_of.value() == 7);
+        REQUIRE(listed->entries.size() == 2);
+        CHECK(listed->entries[0].id.value() == "a");
+        CHECK(listed->entries[1].id.value() == "b");
+        REQUIRE(changed);
+        CHECK(changed->as_of.value() == 12);
+        // An upstream whose entry can no longer be read must not remain in use.
+        REQUIRE(changed->changes.size() == (has_readable_name(odd) ? 3 : 2));
+        CHECK(changed->changes.front().entry);
+        CHECK(changed->changes.back().entry);
+        if (has_readable_name(odd)) {
+            CHECK(changed->changes[1].id.value() == "odd");
+            CHECK_FALSE(changed->changes[1].entry);
+        }
+    }
+}
+
+TEST_CASE("an object that cannot be read hides neither the configuration nor the other routers") {
+    const std::string router =
+        R"({"metadata":{"name":"r1"},"spec":{"address":"10.0.0.1:7400","ops":"10.0.0.1:8780"}})";
+    const std::string configuration = R"({"metadata":{"name":"main"},"spec":{"version":7,"routes":[]}})";
+    for (const std::string& odd : unreadable_objects()) {
+        CAPTURE(odd);
+        fixture store;
+        base::result<std::vector<decision::vm_entry>> routers;
+        base::result<store::catalogue_reading> read;
+        base::result<store::catalogue_reading> changed;
+        store.serve({answer(200, R"({"entries":[)" + odd + "," + router + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"entries":[)" + odd + "," + configuration + R"(],"at":7})"),
+                     answer(200, R"({"events":[{"deleted":false,"object":)" + odd +
+                                     R"(},{"deleted":false,"object":)" + configuration + R"(}],"at":9})")},
+                    [&] {
+                        routers = store.client.read_routers(true);
+                        read = store.client.read_catalogue(true);
+                        changed = store.client.await_catalogue(store::position(7), milliseconds(10));
+                    });
+        REQUIRE(routers);
+        CHECK(routers->size() == 1);
+        REQUIRE(read);
+        CHECK(read->catalogue->version.value() == 7);
+        REQUIRE(changed);
+        CHECK(changed->catalogue->version.value() == 7);
+    }
+}
+
+TEST_CASE("an answer that is no list is an error and not an empty list") {
+    for (const char* const body :
+         {"5", "[]", "null", R"({"entries":5,"at":7})", R"({"entries":[],"at":7)", R"({"entries":[]})",
+          R"({"entries":[],"at":1e300})", R"({"entries":[],"at":-1})", R"({"entries":[],"at":"7"})"}) {
+        CAPTURE(body);
+        fixture store;
+        base::result<store::roster_reading> result;
+        store.serve({answer(200, body)}, [&] { result = store.client.read_upstreams(true); });
+        REQUIRE_FALSE(result);
+        CHECK(result.error().code == base::error_code::store_malformed);
+    }
+}
+
 TEST_CASE("each failure of the store has its own error code") {
     const std::vector<std::pair<std::string, base::error_code>> cases{
         {answer(410, "{}"), base::error_code::store_history_lost},
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -174,7 +174,7 @@
     self.data_centre = base::data_centre_id("z");
     self.control = {"10.0.0.1", 7400};
     self.admin = {"10.0.0.1", 8780};
-    const std::optional<decision::vm_entry> decoded =
+    const base::result<decision::vm_entry> decoded =
         platform::decode_router("edge-1", platform::encode_router(self));
     REQUIRE(decoded);
     CHECK(decoded->control == self.control);
