Convert numbers of entries and configurations only within their range

Seen: an entry with a slot count of 1e300, 1e10 or 4.5, or a start time of 1e300, -1 or "", was accepted, with whatever number the conversion gave; a route's time-out of 1e300 ms was added to times; a configuration with version 1e300 or -1 was accepted under another number; a router's entry could state -1 or 1e300 processors.

Cause: values of type double were cast to integers and durations without a check, which is undefined outside the range of the type, and the type of optional members was not checked.

An entry with a number out of range, or with a zone or start time of another type, names no upstream, as the protocol asks. Limits of a configuration are cut to the nearest usable value, since a configuration must not be lost for one of them; its version must be whole.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -120,6 +120,102 @@
     CHECK_FALSE(platform::decode_upstream("u", json()));
 }
 
+TEST_CASE("an upstream entry whose numbers are out of range, not whole or of another type is refused") {
+    for (const char* const slots :
+         {"1e300", "-1e300", "1e10", "2147483648", "18446744073709551615", "4.5", "0", "-1", "0.5"}) {
+        CAPTURE(slots);
+        json odd = upstream_spec();
+        odd["slots"] = json::parse(slots);
+        CHECK_FALSE(platform::decode_upstream("u", odd));
+    }
+    for (const char* const born : {"1e300", "-1", "1.5", "18446744073709551615", "\"1700000000123\"", "[]"}) {
+        CAPTURE(born);
+        json odd = upstream_spec();
+        odd["born"] = json::parse(born);
+        CHECK_FALSE(platform::decode_upstream("u", odd));
+    }
+    json odd_zone = upstream_spec();
+    odd_zone["zone"] = 5;
+    CHECK_FALSE(platform::decode_upstream("u", odd_zone));
+    json unborn = upstream_spec();
+    unborn.erase("born");
+    unborn["slots"] = 4.0;
+    REQUIRE(platform::decode_upstream("u", unborn));
+    CHECK(platform::decode_upstream("u", unborn)->started_ms == 0);
+    CHECK(platform::decode_upstream("u", unborn)->slots.value() == 4);
+}
+
+TEST_CASE("an upstream entry whose port is out of range is refused") {
+    for (const char* const port : {"0", "65536", "80000", "-1", "99999999999999999999", "8e1", "", "80 "}) {
+        CAPTURE(port);
+        json odd = upstream_spec();
+        odd["address"] = std::string("10.0.0.1:") + port;
+        CHECK_FALSE(platform::decode_upstream("u", odd));
+    }
+}
+
+TEST_CASE("numbers of a configuration that are out of range are limited and not converted to others") {
+    const auto decode = [](const std::string& number) {
+        const std::string text =
+            R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","route_type":"safe","service":"s",)"
+            R"("timeout_ms":N,"target_latency_ms":N,"max_attempts":N,"priority":N}],"services":[{"name":"s",)"
+            R"("max_connections":N,"engine":{"slots":N,"kv_capacity":N}}],"limits":{"max_header_bytes":N,)"
+            R"("max_body_bytes":N,"header_timeout_ms":N,"idle_timeout_ms":N}})";
+        std::string filled;
+        for (const char c : text) {
+            filled += c == 'N' ? number : std::string(1, c);
+        }
+        return platform::decode_catalogue(json::parse(filled));
+    };
+    const base::result<dispatch::catalogue_ptr> high = decode("1e300");
+    REQUIRE(high);
+    const dispatch::route& route = (*high)->routes.front();
+    const dispatch::pool& pool = *(*high)->find(base::pool_id("s"));
+    const std::chrono::hours day(24);
+    CHECK(route.timeout >= day);
+    CHECK(route.objective >= day);
+    // Deadlines are computed by adding these to the time.
+    CHECK(route.timeout <= day * 366);
+    CHECK(route.objective <= day * 366);
+    CHECK(route.max_attempts >= 1000);
+    CHECK(route.priority >= 1000);
+    CHECK(pool.max_connections >= 1000000);
+    CHECK(pool.engine->slots.value() >= 1000000);
+    CHECK(pool.engine->memory.value() >= 1000000000);
+    CHECK((*high)->limits.head_bytes >= 1000000000);
+    CHECK((*high)->limits.body_bytes >= 1000000000);
+    CHECK((*high)->limits.head_timeout >= day);
+    CHECK((*high)->limits.idle_timeout >= day);
+    const base::result<dispatch::catalogue_ptr> low = decode("-1e300");
+    REQUIRE(low);
+    CHECK((*low)->routes.front().timeout == base::duration::zero());
+    CHECK((*low)->routes.front().max_attempts == 1);
+    CHECK((*low)->routes.front().priority <= -1000);
+    CHECK((*low)->limits.body_bytes == 0);
+    CHECK((*low)->find(base::pool_id("s"))->engine->slots.value() == 1);
+    CHECK((*low)->find(base::pool_id("s"))->engine->memory.value() == 0);
+}
+
+TEST_CASE("a configuration whose version is not a whole number is refused") {
+    for (const char* const version : {"1e300", "-1", "1.5", "true"}) {
+        CAPTURE(version);
+        CHECK_FALSE(platform::decode_catalogue(
+            json::parse(std::string(R"({"routes":[],"version":)") + version + "}")));
+    }
+    CHECK(platform::decode_catalogue(json::parse(R"({"routes":[],"version":18446744073709551615})"))
+              .value()
+              ->version.value() == UINT64_MAX);
+}
+
+TEST_CASE("a router's entry with a processor count out of range is refused") {
+    for (const char* const cores : {"1e300", "-1", "\"4\""}) {
+        CAPTURE(cores);
+        CHECK_FALSE(platform::decode_router(
+            "r", json::parse(std::string(R"({"address":"10.0.0.1:1","ops":"10.0.0.1:2","processor":)") +
+                             cores + "}")));
+    }
+}
+
 TEST_CASE("a configuration is decoded with its routes, pools, keys and limits") {
     const json spec = json::parse(R"({"version":7,"routes":[
         {"name":"r1","host":"H.example","path_prefix":"/a/","route_type":"streaming","timeout_ms":15000,
