Continue a list after any name, and not for ever without one

Seen: with a list of several pages, a page whose last object has a name with a space, & or a line break was followed by a request that the store refuses or reads as another one; a page whose last object has no readable name was followed by the first page again, without end. The router never got its list.

Cause: the name was put into the query as it is, and an unreadable one counted as "no page read yet".

Names in the query are now percent-encoded, with the function that store/http had. The list goes on after the last name that can be read; a page without a further name is an error.

Evidence: the two new tests failed before (no answer to the second request; a second read of the first page). They pass now; store_test, which covers the moved function, passes.

--- a/src/store/http.cpp
+++ b/src/store/http.cpp
@@ -1,6 +1,7 @@
 #include "store/http.h"
 
-#include <cctype>
+#include "base/percent.h"
+
 #include <charconv>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/ioerror.h>
@@ -21,19 +22,9 @@
     return cxxtools::Milliseconds(std::chrono::duration<double, std::milli>(time).count());
 }
 
-/// Percent-encodes everything but unreserved characters and `/`.
+/// Percent-encodes a path or a part of one.
 std::string encode_path(const std::string& text) {
-    constexpr const char* digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char c : text) {
-        const unsigned char byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~' || c == '/') {
-            encoded += c;
-        } else {
-            encoded += {'%', digits[byte >> 4U], digits[byte & 15U]};
-        }
-    }
-    return encoded;
+    return base::percent_encode(text, "/");
 }
 
 std::string object_path(const base::object_name& name) {
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -247,6 +247,40 @@
     }
 }
 
+TEST_CASE("a page whose last name has reserved characters is followed by the next page") {
+    fixture store;
+    base::result<store::roster_reading> result;
+    const std::vector<std::string> requests =
+        store.serve({answer(200, R"({"entries":[)" + upstream_object("a b&at=1\\r\\n\u00e9") +
+                                     R"(],"has_more":true,"at":7})"),
+                     answer(200, R"({"entries":[)" + upstream_object("c") + R"(],"has_more":false,"at":9})")},
+                    [&] { result = store.client.read_upstreams(true); });
+    REQUIRE(result);
+    CHECK(result->entries.back().id.value() == "c");
+    CHECK(requests[1].find("GET /api/objects/servers?&after=a%20b%26at%3D1%0D%0A%C3%A9 HTTP/1.1\r\n") == 0);
+}
+
+TEST_CASE("a page whose last name cannot be read is followed by the next page, and not read for ever") {
+    fixture store;
+    base::result<store::roster_reading> result;
+    const std::vector<std::string> requests =
+        store.serve({answer(200, R"({"entries":[)" + upstream_object("a") +
+                                     R"(,{"metadata":1}],"has_more":true,"at":7})"),
+                     answer(200, R"({"entries":[{"metadata":1},)" + upstream_object("c") +
+                                     R"(],"has_more":false,"at":9})")},
+                    [&] { result = store.client.read_upstreams(true); });
+    REQUIRE(result);
+    CHECK(result->as_of.value() == 7);
+    CHECK(result->entries.size() == 2);
+    CHECK(requests[1].find("after=a ") != std::string::npos);
+
+    fixture nameless;
+    const std::string page = answer(200, R"({"entries":[{"metadata":1}],"has_more":true,"at":7})");
+    nameless.serve({page}, [&] { result = nameless.client.read_upstreams(true); });
+    REQUIRE_FALSE(result);
+    CHECK(result.error().code == base::error_code::store_malformed);
+}
+
 TEST_CASE("an answer that is no list is an error and not an empty list") {
     for (const char* const body :
          {"5", "[]", "null", R"({"entries":5,"at":7})", R"({"entries":[],"at":7)", R"({"entries":[]})",
