--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -145,6 +145,14 @@
     CHECK(platform::decode_upstream("u", unborn)->slots.value() == 4);
 }
 
+TEST_CASE("an upstream entry whose name would add a line or a word to a request is refused") {
+    for (const char* const name : {"", "u\r\nX-Tenant: t", "u\n", "u v", "u\t", "\x7f"}) {
+        CAPTURE(name);
+        CHECK_FALSE(platform::decode_upstream(name, upstream_spec()));
+    }
+    CHECK(platform::decode_upstream("i-7f3a91c2", upstream_spec()));
+}
+
 TEST_CASE("an upstream entry whose port is out of range is refused") {
     for (const char* const port : {"0", "65536", "80000", "-1", "99999999999999999999", "8e1", "", "80 "}) {
         CAPTURE(port);
