Limit the depth of JSON from callers, upstreams, routers and the store

Seen: bluebelld and bluebellctl ended by SIGSEGV at JSON nested deeply in a load report, in the list of VMs, in a release, and in the status of a router. For requests of callers the depth was limited, but a comment with a quote (`//"`) before the object hid the brackets from that check, and the process ended there too.

Cause: the parser of cxxtools recurses for each level and accepts comments. Only one of its six uses was preceded by a check, and the check did not know comments.

`base::parse_json` is now the only use of the parser. It first makes the check of 64 levels, which refuses comments as well.

Evidence: the new tests in transport_test, store_test and config_test and the new row in edge_test ended by SIGSEGV before; a body with a harmless comment was answered 200. They pass now. The status of a router and the list of objects have no test of their own.

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -1,5 +1,9 @@
 #include "base/json.h"
 
+#include <cxxtools/jsondeserializer.h>
+#include <exception>
+#include <sstream>
+
 namespace bluebell::base {
 
 result<void> check_json_depth(std::string_view text, error_code code, const std::string& location) {
@@ -25,4 +29,21 @@
     return {};
 }
 
+result<cxxtools::SerializationInfo> parse_json(const std::string& text, error_code code,
+                                               const std::string& location) {
+    const result<void> depth = check_json_depth(text, code, location);
+    if (!depth) {
+        return tl::unexpected<error>(depth.error());
+    }
+    try {
+        std::istringstream in(text);
+        cxxtools::JsonDeserializer deserializer(in);
+        cxxtools::SerializationInfo parsed;
+        deserializer.deserialize(parsed);
+        return parsed;
+    } catch (const std::exception& cause) {
+        return failure(code, location, std::string("the text is not JSON: ") + cause.what());
+    }
+}
+
 } // namespace bluebell::base
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 
+#include <cxxtools/serializationinfo.h>
 #include <string>
 #include <string_view>
 
@@ -16,4 +17,9 @@
 /// text that another program sent. The error has the given code and location.
 result<void> check_json_depth(std::string_view text, error_code code, const std::string& location);
 
+/// Parses a JSON text that another program sent, after `check_json_depth`. The error has the given code and
+/// location.
+result<cxxtools::SerializationInfo> parse_json(const std::string& text, error_code code,
+                                               const std::string& location);
+
 } // namespace bluebell::base
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -1,9 +1,9 @@
 #include "ctl/fleet.h"
 
+#include "base/json.h"
+
 #include <algorithm>
-#include <cxxtools/json.h>
 #include <cxxtools/serializationinfo.h>
-#include <sstream>
 
 namespace bluebell::ctl {
 namespace {
@@ -61,12 +61,14 @@
     if (!text) {
         return tl::unexpected<base::error>(text.error());
     }
+    const base::result<cxxtools::SerializationInfo> status =
+        base::parse_json(*text, base::error_code::store_malformed, router.vm.value());
+    if (!status) {
+        return tl::unexpected<base::error>(status.error());
+    }
     try {
-        std::istringstream in(*text);
-        cxxtools::SerializationInfo status;
-        in >> cxxtools::Json(status);
         std::uint64_t revision = 0;
-        status.getMember("state").getMember("router").getMember("revision") >>= revision;
+        status->getMember("state").getMember("router").getMember("revision") >>= revision;
         return base::revision(revision);
     } catch (const std::exception& fault) {
         return base::failure(base::error_code::store_malformed, router.vm.value(), fault.what());
--- a/src/edge/parse.cpp
+++ b/src/edge/parse.cpp
@@ -1,15 +1,13 @@
 #include "edge/parse.h"
 
 #include "base/hash.h"
+#include "base/json.h"
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <cstdlib>
-#include <cxxtools/jsondeserializer.h>
 #include <cxxtools/serializationinfo.h>
-#include <exception>
-#include <sstream>
 #include <strings.h>
 #include <utility>
 
@@ -25,9 +23,6 @@
 constexpr double max_cost_hint = 1e9;
 constexpr std::int64_t max_tokens_limit = 1000000;
 constexpr std::size_t bytes_per_token = 4;
-/// JSON with more levels is refused before it reaches the recursive parser, whose stack 100,000 levels
-/// overflowed.
-constexpr int max_nesting_depth = 64;
 
 /// Returns the value of the first field with this name in any case, or null.
 const std::string* find_field(const raw_request& raw, const char* name) {
@@ -50,9 +45,8 @@
                        [&name](const char* consumed) { return strcasecmp(consumed, name.c_str()) == 0; });
 }
 
-/// Checks that the JSON is not nested too deeply and that nothing follows the object; cxxtools accepts text
-/// after its end.
-base::result<void> check_nesting(const std::string& json) {
+/// Checks that nothing follows the object; cxxtools accepts text after its end.
+base::result<void> check_end(const std::string& json) {
     int depth = 0;
     bool in_string = false;
     bool ended = false;
@@ -67,9 +61,7 @@
         } else if (c == '"') {
             in_string = true;
         } else if (c == '{' || c == '[') {
-            if (++depth > max_nesting_depth) {
-                return failure(error_code::malformed_request, "body", "the body is nested too deeply");
-            }
+            ++depth;
         } else if (c == '}' || c == ']') {
             ended = --depth == 0;
         }
@@ -78,20 +70,16 @@
 }
 
 base::result<cxxtools::SerializationInfo> parse_object(const std::string& body) {
-    const base::result<void> nesting = check_nesting(body);
-    if (!nesting) {
-        return tl::unexpected<base::error>(nesting.error());
-    }
-    cxxtools::SerializationInfo parsed;
-    try {
-        std::istringstream in(body);
-        cxxtools::JsonDeserializer deserializer(in);
-        deserializer.deserialize(parsed);
-    } catch (const std::exception& cause) {
-        return failure(error_code::malformed_request, "body",
-                       std::string("the body is not JSON: ") + cause.what());
-    }
-    if (parsed.category() != cxxtools::SerializationInfo::Object || parsed.memberCount() == 0) {
+    const base::result<void> end = check_end(body);
+    if (!end) {
+        return tl::unexpected<base::error>(end.error());
+    }
+    base::result<cxxtools::SerializationInfo> parsed =
+        base::parse_json(body, error_code::malformed_request, "body");
+    if (!parsed) {
+        return parsed;
+    }
+    if (parsed->category() != cxxtools::SerializationInfo::Object || parsed->memberCount() == 0) {
         return failure(error_code::malformed_request, "body", "the body is not a JSON object");
     }
     return parsed;
--- a/src/store/config.cpp
+++ b/src/store/config.cpp
@@ -1,6 +1,7 @@
 #include "store/config.h"
 
 #include "base/hash.h"
+#include "base/json.h"
 
 #include <algorithm>
 #include <charconv>
@@ -35,15 +36,16 @@
 }
 
 SerializationInfo from_json(const std::string& text) {
-    SerializationInfo si;
-    std::istringstream in(text);
-    in >> cxxtools::Json(si);
+    base::result<SerializationInfo> si = base::parse_json(text, error_code::store_malformed, "");
+    if (!si) {
+        throw malformed(si.error().text);
+    }
     int format = 0;
-    si.getMember("format") >>= format;
+    si->getMember("format") >>= format;
     if (format != encoding_format) {
         throw malformed("format " + std::to_string(format) + " is not supported");
     }
-    return si;
+    return std::move(*si);
 }
 
 /// Formats a number as the shortest decimal text that reads back exactly. The JSON formatter of cxxtools
--- a/src/store/http.cpp
+++ b/src/store/http.cpp
@@ -1,5 +1,6 @@
 #include "store/http.h"
 
+#include "base/json.h"
 #include "base/percent.h"
 
 #include <charconv>
@@ -90,13 +91,6 @@
     return stored_object{std::move(answer->body), answer->version};
 }
 
-cxxtools::SerializationInfo parse_json(const std::string& json) {
-    cxxtools::SerializationInfo json_object;
-    std::istringstream in(json);
-    in >> cxxtools::Json(json_object);
-    return json_object;
-}
-
 /// Parses one entry of the VM list; empty if a value is invalid. Throws if a member is missing.
 /// Pre-condition: `json_object` is a JSON object.
 std::optional<decision::vm_entry> read_vm(const cxxtools::SerializationInfo& json_object) {
@@ -243,9 +237,14 @@
     if (!answer) {
         return tl::unexpected<base::error>(answer.error());
     }
+    const base::result<cxxtools::SerializationInfo> listing =
+        base::parse_json(answer->body, error_code::store_malformed, prefix);
+    if (!listing) {
+        return tl::unexpected<base::error>(listing.error());
+    }
     try {
         std::vector<std::string> texts;
-        parse_json(answer->body).getMember("names") >>= texts;
+        listing->getMember("names") >>= texts;
         std::vector<base::object_name> names;
         for (const std::string& text : texts) {
             names.emplace_back(text);
@@ -285,10 +284,14 @@
 }
 
 base::result<std::vector<decision::vm_entry>> decode_vms(const std::string& json) {
+    const base::result<cxxtools::SerializationInfo> listing =
+        base::parse_json(json, error_code::store_malformed, "/vms");
+    if (!listing) {
+        return tl::unexpected<base::error>(listing.error());
+    }
     try {
-        const cxxtools::SerializationInfo si = parse_json(json);
         std::vector<decision::vm_entry> vms;
-        for (const cxxtools::SerializationInfo& member : si.getMember("vms")) {
+        for (const cxxtools::SerializationInfo& member : listing->getMember("vms")) {
             std::optional<decision::vm_entry> entry = read_vm(member);
             if (!entry) {
                 return base::failure(error_code::store_malformed, "/vms",
--- a/src/upstream/load.cpp
+++ b/src/upstream/load.cpp
@@ -1,14 +1,13 @@
 #include "upstream/load.h"
 
 #include "base/guard.h"
+#include "base/json.h"
 #include "base/log.h"
 #include "upstream/call.h"
 
 #include <algorithm>
-#include <cxxtools/jsondeserializer.h>
 #include <cxxtools/serializationinfo.h>
 #include <exception>
-#include <sstream>
 #include <utility>
 
 namespace bluebell::upstream {
@@ -25,16 +24,17 @@
 } // namespace
 
 base::result<decision::upstream_load> parse_load(const std::string& text) {
+    const base::result<cxxtools::SerializationInfo> object =
+        base::parse_json(text, base::error_code::upstream_malformed_answer, "load");
+    if (!object) {
+        return tl::unexpected<base::error>(object.error());
+    }
     decision::upstream_load reported_load;
     try {
-        std::istringstream in(text);
-        cxxtools::JsonDeserializer deserializer(in);
-        cxxtools::SerializationInfo object;
-        deserializer.deserialize(object);
         std::int32_t slots = 0;
-        object.getMember("running").getValue(reported_load.running);
-        object.getMember("waiting").getValue(reported_load.waiting);
-        object.getMember("slots").getValue(slots);
+        object->getMember("running").getValue(reported_load.running);
+        object->getMember("waiting").getValue(reported_load.waiting);
+        object->getMember("slots").getValue(slots);
         reported_load.slots = base::slot_count(slots);
     } catch (const std::exception& cause) {
         return base::failure(base::error_code::upstream_malformed_answer, "load", cause.what());
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -455,3 +455,10 @@
     CHECK((*image)->config->accounts.size() == 2);
     CHECK((*image)->head.changes.size() == listed_changes);
 }
+
+TEST_CASE("a release that is nested too deeply does not end the process") {
+    const std::string deep =
+        R"({"format":1,"revision":1,"extra":)" + std::string(100000, '[') + std::string(100000, ']') + "}";
+    CHECK(decode_head(deep).error().code == error_code::store_malformed);
+    CHECK(parse_config(deep, nullptr).error().code == error_code::store_malformed);
+}
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -304,6 +304,11 @@
         {"POST", completions, account, "[1]", 400, "malformed_request", "body"},
         {"POST", completions, account, "{} x", 400, "malformed_request", "body"},
         {"POST", completions, account, std::string(200000, '['), 400, "malformed_request", "body"},
+        // A quote in a comment, which cxxtools accepts, must not hide brackets from the check of the depth.
+        {"POST", completions, account, "//\"\n{\"a\":" + std::string(200000, '['), 400, "malformed_request",
+         "body"},
+        {"POST", completions, account, R"({"model":"text",/**/)" + messages + "}", 400, "malformed_request",
+         "body"},
         {"POST", completions, account, "{\"a\":1}", 400, "missing_field", "model"},
         {"POST", completions, account, R"({"model":1})", 422, "invalid_field", "model"},
         {"POST", completions, account, R"({"model":"text"})", 400, "missing_field", "messages"},
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -205,3 +205,9 @@
     server.table().store_vms("{");
     CHECK(code_of(list.read()) == error_code::store_malformed);
 }
+
+TEST_CASE("a list of VMs or objects that is nested too deeply does not end the process") {
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    CHECK(code_of(decode_vms(R"({"vms":)" + deep + "}")) == error_code::store_malformed);
+    CHECK(code_of(decode_vms("//\"\n{\"vms\":" + deep + "}")) == error_code::store_malformed);
+}
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -536,6 +536,13 @@
     CHECK_FALSE(upstream::parse_load(R"({"running":1,"waiting":0,"slots":-1})"));
 }
 
+TEST_CASE("a load report that is nested too deeply does not end the process") {
+    std::string report(R"({"running":1,"waiting":0,"slots":4,"extra":)");
+    report += std::string(100000, '[') + std::string(100000, ']') + '}';
+    CHECK_FALSE(upstream::parse_load(report));
+    CHECK_FALSE(upstream::parse_load("//\"\n" + report));
+}
+
 TEST_CASE("engines that check the fencing token refuse an older one") {
     standin::engine_options ignoring;
     ignoring.checks_fence = false;
