Refuse load reports whose numbers are null, arrays or too large

Seen: a load report with null or an array for `running`, `waiting` or `slots` was taken as a report of 0, and numbers of running and waiting requests up to 2^32 - 1 were added and then converted to 32 bits with a sign, so that a very busy upstream could count as idle.

Cause: cxxtools converts values of other types to 0, and the sum in decision/permit assumes that the numbers are small.

Each number is now read as a whole number from 0 to 1e9; anything else makes the report malformed, as a missing member does.

Evidence: the new test failed before for null and [] in each of the three members (6 of 21 checks) and passes now. The sum was found by reading; the limit ends it, and no test of its own shows it.

--- a/src/upstream/load.cpp
+++ b/src/upstream/load.cpp
@@ -6,14 +6,17 @@
 #include "upstream/call.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cxxtools/serializationinfo.h>
-#include <exception>
+#include <optional>
 #include <utility>
 
 namespace bluebell::upstream {
 namespace {
 
 constexpr std::size_t max_report_bytes = 65536;
+/// The sum of two such numbers fits into 32 bits with a sign, which `decision/permit` relies on.
+constexpr std::uint32_t max_load = 1000000000;
 /// Longest wait of the selector.
 constexpr base::duration max_wait = std::chrono::seconds(1);
 
@@ -21,6 +24,23 @@
     return cxxtools::Milliseconds(std::chrono::duration<double, std::milli>(duration).count());
 }
 
+/// Reads a whole number from 0 to `max_load`; nothing if the member is missing or anything else. cxxtools
+/// converts null and arrays to 0.
+std::optional<std::uint32_t> read_count(const cxxtools::SerializationInfo& object, const char* name) {
+    const cxxtools::SerializationInfo* const member = object.findMember(name);
+    if (member == nullptr || member->category() != cxxtools::SerializationInfo::Value ||
+        member->typeName() != "int") {
+        return std::nullopt;
+    }
+    std::string text;
+    member->getValue(text);
+    std::uint32_t count = 0;
+    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), count);
+    const bool valid =
+        parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && count <= max_load;
+    return valid ? std::optional<std::uint32_t>(count) : std::nullopt;
+}
+
 } // namespace
 
 base::result<decision::upstream_load> parse_load(const std::string& text) {
@@ -29,19 +49,17 @@
     if (!object) {
         return tl::unexpected<base::error>(object.error());
     }
-    decision::upstream_load reported_load;
-    try {
-        std::int32_t slots = 0;
-        object->getMember("running").getValue(reported_load.running);
-        object->getMember("waiting").getValue(reported_load.waiting);
-        object->getMember("slots").getValue(slots);
-        reported_load.slots = base::slot_count(slots);
-    } catch (const std::exception& cause) {
-        return base::failure(base::error_code::upstream_malformed_answer, "load", cause.what());
-    }
-    if (reported_load.slots.value() < 0) {
-        return base::failure(base::error_code::upstream_malformed_answer, "slots", "must not be negative");
+    const std::optional<std::uint32_t> running = read_count(*object, "running");
+    const std::optional<std::uint32_t> waiting = read_count(*object, "waiting");
+    const std::optional<std::uint32_t> slots = read_count(*object, "slots");
+    if (!running || !waiting || !slots) {
+        return base::failure(base::error_code::upstream_malformed_answer, "load",
+                             "running, waiting and slots must be whole numbers up to 1e9");
     }
+    decision::upstream_load reported_load;
+    reported_load.running = *running;
+    reported_load.waiting = *waiting;
+    reported_load.slots = base::slot_count(static_cast<std::int32_t>(*slots));
     return reported_load;
 }
 
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -543,6 +543,17 @@
     CHECK_FALSE(upstream::parse_load("//\"\n" + report));
 }
 
+TEST_CASE("a load report with a number out of range or no whole number is refused") {
+    for (const char* const number : {"1e300", "-1", "4.5", "99999999999999999999", "\"x\"", "[]", "null"}) {
+        CAPTURE(number);
+        for (const std::string name : {"running", "waiting", "slots"}) {
+            const auto value = [&](const char* member) { return std::string(member == name ? number : "1"); };
+            CHECK_FALSE(upstream::parse_load(R"({"running":)" + value("running") + R"(,"waiting":)" +
+                                             value("waiting") + R"(,"slots":)" + value("slots") + "}"));
+        }
+    }
+}
+
 TEST_CASE("engines that check the fencing token refuse an older one") {
     standin::engine_options ignoring;
     ignoring.checks_fence = false;
