Log an unreadable entry once, and not at every reading

Seen: `entry_unreadable` came for each odd entry at every reading of the list, with no cause; 300 odd entries use up the limit of such lines. Entries of routers that cannot be read were not logged at all.

Cause: nothing remembered which faults had been logged.

A line comes for a new object or a new cause, and again after the object was sound.

Evidence: tests of the record (once, again after a change, limit). They are of a new class and could not fail before; that the store's client asks it is read from the code.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/decode.h"
 #include "platform/dialect.h"
+#include "platform/faults.h"
 #include "platform/names.h"
 
 #include <catch2/catch.hpp>
@@ -153,6 +154,27 @@
     CHECK(platform::decode_upstream("i-7f3a91c2", upstream_spec()));
 }
 
+TEST_CASE("a fault of an entry is new once, and again after another cause or a sound reading") {
+    platform::fault_record faults;
+    CHECK(faults.add("servers", "u", "deep"));
+    CHECK_FALSE(faults.add("servers", "u", "deep"));
+    CHECK(faults.add("servers", "v", "deep"));
+    CHECK(faults.add("routers", "u", "deep"));
+    CHECK(faults.add("servers", "u", "no address"));
+    faults.remove("servers", "u");
+    CHECK(faults.add("servers", "u", "no address"));
+    CHECK_FALSE(faults.add("routers", "u", "deep"));
+}
+
+TEST_CASE("the record of faults does not grow without limit") {
+    platform::fault_record faults;
+    std::size_t recorded = 0;
+    for (std::size_t i = 0; i < 2 * platform::fault_record::max_objects; ++i) {
+        recorded += faults.add("servers", std::to_string(i), "deep") ? 1 : 0;
+    }
+    CHECK(recorded == platform::fault_record::max_objects);
+}
+
 TEST_CASE("an upstream entry whose port is out of range is refused") {
     for (const char* const port : {"0", "65536", "80000", "-1", "99999999999999999999", "8e1", "", "80 "}) {
         CAPTURE(port);
