Test unreadable entries through a real router

The stand-in of the store serves entries that are nested too deeply, hold 1e999 or bytes that are no UTF-8, or have a port out of range, on both sides of the sound one, and one more while the router runs.

--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Tests requests through a real router on the platform: configuration and upstreams from the store, keys, a new
-# configuration, an outage of the store, and the explanation of a request from the log.
+# configuration, entries that cannot be read, an outage of the store, and the explanation of a request from the log.
 # Usage: platform_path.sh BUILD_DIR
 set -eu
 bin=$1/bin
@@ -82,6 +82,20 @@
 grep -qi '^X-Response-Seal: seal' "$work/head" || fail "the field that the worker adds is missing"
 [ "$(order id-2 key-2)" = 401 ] || fail "an unknown key is accepted"
 [ "$(order id-3 key-1 none/1)" = 404 ] || fail "an unknown path is routed"
+# Entries that cannot be read neither end the process nor hide the others, and each is logged once.
+for _ in 1 2; do
+    curl -sf -X POST --data '{"metadata":{"name":"c-late"},"spec":"@deep@"}' \
+        "http://127.0.0.1:$store/api/objects/servers" > /dev/null
+done
+end=$(($(date +%s) + 3))
+until grep entry_unreadable "$work/log" | grep -q c-late || [ "$(date +%s)" -gt "$end" ]; do
+    sleep 0.1
+done
+sleep 0.5 # a second line of an entry would come within this time
+for odd in a-deep b-large c-late y-bytes z-port; do
+    [ "$(grep entry_unreadable "$work/log" | grep -c "\"name\":\"$odd\",\"cause\":\"[a-z]")" = 1 ] ||
+        fail "not exactly one line on the entry $odd"
+done
 config 2 key-2 | curl -sf -X POST --data-binary @- "http://127.0.0.1:$store/test/config" > /dev/null
 until_status 2 200 order id-4 key-2
 [ "$(order id-5 key-1)" = 401 ] || fail "a key that was removed is accepted"
--- a/tests/platform_peers.py
+++ b/tests/platform_peers.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform's store and one of its upstreams, for tests with real routers.
 
 Usage: platform_peers.py STORE_PORT WORKER_PORT. Reads the configuration from standard input. The store serves it and
-the worker's entry from the start. `POST /test/config` replaces the configuration, `GET /test/runs` returns the
+the worker's entry from the start, and between others that cannot be read. `POST /test/config` replaces the configuration, `GET /test/runs` returns the
 number of requests that the worker ran.
 """
 import http.server
@@ -15,6 +15,8 @@
 objects = {}
 history = []
 runs = []
+# Texts that another writer may leave in an entry, and that `json` cannot write, by their placeholders.
+unreadable = {b"@deep@": b"[" * 100000 + b"]" * 100000, b"@large@": b"1e999", b"@bytes@": b'"\xff\xfe"'}
 
 
 def put(kind, name, spec):
@@ -34,6 +36,8 @@
 
     def reply(self, status, body, fields=()):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        for placeholder, text in unreadable.items():
+            data = data.replace(b'"%s"' % placeholder, text)
         self.send_response(status)
         for name, value in fields:
             self.send_header(name, value)
@@ -88,6 +92,9 @@
 
 put("servers", "i-1", {"service": "orders", "address": "127.0.0.1:%d" % worker_port, "zone": "x", "version": "1",
                        "slots": 2, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1})
+for name, odd in (("a-deep", {"extra": "@deep@"}), ("b-large", {"slots": "@large@"}), ("y-bytes", {"zone": "@bytes@"}),
+                  ("z-port", {"address": "127.0.0.1:80000"})):
+    put("servers", name, {**objects["servers", "i-1"]["spec"], **odd})
 put("config", "main", json.load(sys.stdin))
 for port, kind in ((store_port, store), (worker_port, worker)):
     threading.Thread(target=http.server.ThreadingHTTPServer(("127.0.0.1", port), kind).serve_forever).start()
