--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -103,6 +103,41 @@
     CHECK_FALSE(platform_dialect.read_answer(head).idle_timeout);
 }
 
+TEST_CASE("an idle timeout of an upstream that is too long for a duration does not become another one") {
+    const platform::dialect platform_dialect;
+    http::response_head head;
+    for (const char* const seconds : {"9223372036854775807", "9223372037", "-9223372036854775808", "-1"}) {
+        CAPTURE(seconds);
+        head.fields = {{"Keep-Alive", std::string("timeout=") + seconds}};
+        const std::optional<base::duration> timeout = platform_dialect.read_answer(head).idle_timeout;
+        REQUIRE(timeout);
+        CHECK(*timeout == (seconds[0] == '-' ? std::chrono::hours(0) : std::chrono::hours(24)));
+    }
+}
+
+TEST_CASE("token counts of a prompt that are negative or too large to be added are limited") {
+    const platform::dialect platform_dialect;
+    const auto read = [&](const std::string& count) {
+        return platform_dialect
+            .read_request(head_with({{"X-Token-Usage", count + ',' + count},
+                                     {"X-Prefix-Hash", "1:" + count + ",2:" + count},
+                                     {"X-Length-Hint", count}}))
+            ->prompt;
+    };
+    constexpr std::int64_t sound = 1000000;
+    const dispatch::prompt_info high = read("9223372036854775807");
+    CHECK(high.prompt_tokens.value() >= sound);
+    CHECK(high.prompt_tokens.value() <= INT64_MAX / 1000);
+    CHECK(high.max_output_tokens.value() <= INT64_MAX / 1000);
+    CHECK(high.output_tokens_hint->value() <= INT64_MAX / 1000);
+    REQUIRE(high.parts.size() == 2);
+    CHECK(high.parts[0].tokens.value() <= INT64_MAX / 1000);
+    const dispatch::prompt_info low = read("-5");
+    CHECK(low.prompt_tokens.value() == 0);
+    CHECK(low.max_output_tokens.value() == 0);
+    CHECK(low.output_tokens_hint.value_or(dispatch::token_count(0)).value() == 0);
+}
+
 TEST_CASE("an upstream entry with missing, mistyped or unknown values is refused") {
     REQUIRE(platform::decode_upstream("u", upstream_spec()));
     CHECK(platform::decode_upstream("u", upstream_spec())->started_ms == 1700000000123);
