--- a/src/store/http.cpp
+++ b/src/store/http.cpp
@@ -1,6 +1,8 @@
 #include "store/http.h"
 
-#include <cctype>
+#include "base/json.h"
+#include "base/percent.h"
+
 #include <charconv>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/ioerror.h>
@@ -21,19 +23,9 @@
     return cxxtools::Milliseconds(std::chrono::duration<double, std::milli>(time).count());
 }
 
-/// Percent-encodes everything but unreserved characters and `/`.
+/// Percent-encodes a path or a part of one.
 std::string encode_path(const std::string& text) {
-    constexpr const char* digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char c : text) {
-        const unsigned char byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~' || c == '/') {
-            encoded += c;
-        } else {
-            encoded += {'%', digits[byte >> 4U], digits[byte & 15U]};
-        }
-    }
-    return encoded;
+    return base::percent_encode(text, "/");
 }
 
 std::string object_path(const base::object_name& name) {
@@ -99,13 +91,6 @@
     return stored_object{std::move(answer->body), answer->version};
 }
 
-cxxtools::SerializationInfo parse_json(const std::string& json) {
-    cxxtools::SerializationInfo json_object;
-    std::istringstream in(json);
-    in >> cxxtools::Json(json_object);
-    return json_object;
-}
-
 /// Parses one entry of the VM list; empty if a value is invalid. Throws if a member is missing.
 /// Pre-condition: `json_object` is a JSON object.
 std::optional<decision::vm_entry> read_vm(const cxxtools::SerializationInfo& json_object) {
@@ -252,9 +237,14 @@
     if (!answer) {
         return tl::unexpected<base::error>(answer.error());
     }
+    const base::result<cxxtools::SerializationInfo> listing =
+        base::parse_json(answer->body, error_code::store_malformed, prefix);
+    if (!listing) {
+        return tl::unexpected<base::error>(listing.error());
+    }
     try {
         std::vector<std::string> texts;
-        parse_json(answer->body).getMember("names") >>= texts;
+        listing->getMember("names") >>= texts;
         std::vector<base::object_name> names;
         for (const std::string& text : texts) {
             names.emplace_back(text);
@@ -294,10 +284,14 @@
 }
 
 base::result<std::vector<decision::vm_entry>> decode_vms(const std::string& json) {
+    const base::result<cxxtools::SerializationInfo> listing =
+        base::parse_json(json, error_code::store_malformed, "/vms");
+    if (!listing) {
+        return tl::unexpected<base::error>(listing.error());
+    }
     try {
-        const cxxtools::SerializationInfo si = parse_json(json);
         std::vector<decision::vm_entry> vms;
-        for (const cxxtools::SerializationInfo& member : si.getMember("vms")) {
+        for (const cxxtools::SerializationInfo& member : listing->getMember("vms")) {
             std::optional<decision::vm_entry> entry = read_vm(member);
             if (!entry) {
                 return base::failure(error_code::store_malformed, "/vms",
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -25,6 +25,58 @@
            R"("zone":"z","slots":4,"state":"ready")" + extra_fields + "}}";
 }
 
+/// An array or object of `levels` levels.
+std::string nested(const std::string& opening, const std::string& innermost, const std::string& closing,
+                   int levels) {
+    std::string text;
+    for (int i = 0; i < levels; ++i) {
+        text += opening;
+    }
+    text += innermost;
+    for (int i = 0; i < levels; ++i) {
+        text += closing;
+    }
+    return text;
+}
+
+/// Objects named `odd` that are nested too deeply, each in another field.
+std::vector<std::string> deep_objects() {
+    constexpr int levels = 100000;
+    const std::string array = nested("[", "", "]", levels);
+    const std::string object = nested(R"({"a":)", "1", "}", levels);
+    std::vector<std::string> odd;
+    for (const std::string& deep : {array, object}) {
+        odd.push_back(upstream_object("odd", R"(,"extra":)" + deep));
+        odd.push_back(R"({"metadata":{"name":"odd","extra":)" + deep + R"(},"spec":{"service":"s"}})");
+        odd.push_back(R"({"metadata":{"name":"odd"},"spec":)" + deep + "}");
+        odd.push_back(R"({"metadata":)" + deep + R"(,"spec":{"service":"s"}})");
+        odd.push_back(R"({"metadata":{"name":)" + deep + R"(},"spec":{"service":"s"}})");
+        odd.push_back(deep);
+    }
+    return odd;
+}
+
+/// Objects named `odd` whose text is not valid JSON, or has a number that no parser can represent.
+std::vector<std::string> unreadable_objects() {
+    const std::vector<std::string> values{
+        "1e999",  "-1e999",  std::string(400, '9'), "Infinity", "NaN",    "01",  "+1", "tru", "\"\xff\xfe\"",
+        "\"\n\"", "\"\\x\"", "\"\\ud800\"",         "[}",       "[1,,2]", "\xff"};
+    std::vector<std::string> odd;
+    for (const std::string& value : values) {
+        odd.push_back(upstream_object("odd", R"(,"extra":)" + value));
+        odd.push_back(R"({"metadata":{"name":"odd","extra":)" + value + R"(},"spec":)" + value + "}");
+        odd.push_back(R"({"metadata":)" + value + R"(,"spec":{"service":"s"}})");
+        odd.push_back(R"({"metadata":{"name":)" + value + R"(},"spec":{"service":"s"}})");
+        odd.push_back(value);
+    }
+    return odd;
+}
+
+/// Returns whether the text has `odd` as the name of an object in one of the places where it can be read.
+bool has_readable_name(const std::string& object) {
+    return object.rfind(R"({"metadata":{"name":"odd")", 0) == 0;
+}
+
 /// Server with scripted answers, and a client of it.
 struct fixture {
     fake_server server;
@@ -110,6 +162,138 @@
     CHECK_FALSE(result->changes[1].entry.has_value());
 }
 
+TEST_CASE("an object that is nested too deeply, in any field, does not end the process") {
+    for (const std::string& odd : deep_objects()) {
+        fixture store;
+        bool returned = false;
+        store.serve({answer(200, R"({"entries":[)" + odd + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"events":[{"deleted":false,"object":)" + odd + R"(}],"at":12})"),
+                     answer(200, R"({"entries":[)" + odd + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"entries":[)" + odd + R"(],"has_more":false,"at":7})")},
+                    [&] {
+                        store.client.read_upstreams(true);
+                        store.client.await_upstreams(store::position(7), milliseconds(10));
+                        store.client.read_routers(true);
+                        store.client.read_catalogue(true);
+                        returned = true;
+                    });
+        CHECK(returned);
+    }
+}
+
+TEST_CASE("an object that cannot be read hides no other object of a list or watch") {
+    std::vector<std::string> objects = deep_objects();
+    const std::vector<std::string> unreadable = unreadable_objects();
+    objects.insert(objects.end(), unreadable.begin(), unreadable.end());
+    for (const std::string& odd : objects) {
+        CAPTURE(odd.substr(0, 200));
+        fixture store;
+        base::result<store::roster_reading> listed;
+        base::result<store::roster_changes> changed;
+        const auto event = [](const std::string& object) {
+            return R"({"deleted":false,"object":)" + object + "}";
+        };
+        store.serve({answer(200, R"({"entries":[)" + upstream_object("a") + "," + odd + "," +
+                                     upstream_object("b") + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"events":[)" + event(upstream_object("a")) + "," + event(odd) + "," +
+                                     event(upstream_object("b")) + R"(],"at":12})")},
+                    [&] {
+                        listed = store.client.read_upstreams(true);
+                        changed = store.client.await_upstreams(store::position(7), milliseconds(10));
+                    });
+        REQUIRE(listed);
+        CHECK(listed->as_of.value() == 7);
+        REQUIRE(listed->entries.size() == 2);
+        CHECK(listed->entries[0].id.value() == "a");
+        CHECK(listed->entries[1].id.value() == "b");
+        REQUIRE(changed);
+        CHECK(changed->as_of.value() == 12);
+        // An upstream whose entry can no longer be read must not remain in use.
+        REQUIRE(changed->changes.size() == (has_readable_name(odd) ? 3 : 2));
+        CHECK(changed->changes.front().entry);
+        CHECK(changed->changes.back().entry);
+        if (has_readable_name(odd)) {
+            CHECK(changed->changes[1].id.value() == "odd");
+            CHECK_FALSE(changed->changes[1].entry);
+        }
+    }
+}
+
+TEST_CASE("an object that cannot be read hides neither the configuration nor the other routers") {
+    const std::string router =
+        R"({"metadata":{"name":"r1"},"spec":{"address":"10.0.0.1:7400","ops":"10.0.0.1:8780"}})";
+    const std::string configuration = R"({"metadata":{"name":"main"},"spec":{"version":7,"routes":[]}})";
+    for (const std::string& odd : unreadable_objects()) {
+        CAPTURE(odd);
+        fixture store;
+        base::result<std::vector<decision::vm_entry>> routers;
+        base::result<store::catalogue_reading> read;
+        base::result<store::catalogue_reading> changed;
+        store.serve({answer(200, R"({"entries":[)" + odd + "," + router + R"(],"has_more":false,"at":7})"),
+                     answer(200, R"({"entries":[)" + odd + "," + configuration + R"(],"at":7})"),
+                     answer(200, R"({"events":[{"deleted":false,"object":)" + odd +
+                                     R"(},{"deleted":false,"object":)" + configuration + R"(}],"at":9})")},
+                    [&] {
+                        routers = store.client.read_routers(true);
+                        read = store.client.read_catalogue(true);
+                        changed = store.client.await_catalogue(store::position(7), milliseconds(10));
+                    });
+        REQUIRE(routers);
+        CHECK(routers->size() == 1);
+        REQUIRE(read);
+        CHECK(read->catalogue->version.value() == 7);
+        REQUIRE(changed);
+        CHECK(changed->catalogue->version.value() == 7);
+    }
+}
+
+TEST_CASE("a page whose last name has reserved characters is followed by the next page") {
+    fixture store;
+    base::result<store::roster_reading> result;
+    const std::vector<std::string> requests =
+        store.serve({answer(200, R"({"entries":[)" + upstream_object("a b&at=1\\r\\n\u00e9") +
+                                     R"(],"has_more":true,"at":7})"),
+                     answer(200, R"({"entries":[)" + upstream_object("c") + R"(],"has_more":false,"at":9})")},
+                    [&] { result = store.client.read_upstreams(true); });
+    REQUIRE(result);
+    CHECK(result->entries.back().id.value() == "c");
+    CHECK(requests[1].find("GET /api/objects/servers?&after=a%20b%26at%3D1%0D%0A%C3%A9 HTTP/1.1\r\n") == 0);
+}
+
+TEST_CASE("a page whose last name cannot be read is followed by the next page, and not read for ever") {
+    fixture store;
+    base::result<store::roster_reading> result;
+    const std::vector<std::string> requests =
+        store.serve({answer(200, R"({"entries":[)" + upstream_object("a") +
+                                     R"(,{"metadata":1}],"has_more":true,"at":7})"),
+                     answer(200, R"({"entries":[{"metadata":1},)" + upstream_object("c") +
+                                     R"(],"has_more":false,"at":9})")},
+                    [&] { result = store.client.read_upstreams(true); });
+    REQUIRE(result);
+    CHECK(result->as_of.value() == 7);
+    CHECK(result->entries.size() == 2);
+    CHECK(requests[1].find("after=a ") != std::string::npos);
+
+    fixture nameless;
+    const std::string page = answer(200, R"({"entries":[{"metadata":1}],"has_more":true,"at":7})");
+    nameless.serve({page}, [&] { result = nameless.client.read_upstreams(true); });
+    REQUIRE_FALSE(result);
+    CHECK(result.error().code == base::error_code::store_malformed);
+}
+
+TEST_CASE("an answer that is no list is an error and not an empty list") {
+    for (const char* const body :
+         {"5", "[]", "null", R"({"entries":5,"at":7})", R"({"entries":[],"at":7)", R"({"entries":[]})",
+          R"({"entries":[],"at":1e300})", R"({"entries":[],"at":-1})", R"({"entries":[],"at":"7"})"}) {
+        CAPTURE(body);
+        fixture store;
+        base::result<store::roster_reading> result;
+        store.serve({answer(200, body)}, [&] { result = store.client.read_upstreams(true); });
+        REQUIRE_FALSE(result);
+        CHECK(result.error().code == base::error_code::store_malformed);
+    }
+}
+
 TEST_CASE("each failure of the store has its own error code") {
     const std::vector<std::pair<std::string, base::error_code>> cases{
         {answer(410, "{}"), base::error_code::store_history_lost},
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/decode.h"
 #include "platform/dialect.h"
+#include "platform/faults.h"
 #include "platform/names.h"
 
 #include <catch2/catch.hpp>
@@ -102,6 +103,41 @@
     CHECK_FALSE(platform_dialect.read_answer(head).idle_timeout);
 }
 
+TEST_CASE("an idle timeout of an upstream that is too long for a duration does not become another one") {
+    const platform::dialect platform_dialect;
+    http::response_head head;
+    for (const char* const seconds : {"9223372036854775807", "9223372037", "-9223372036854775808", "-1"}) {
+        CAPTURE(seconds);
+        head.fields = {{"Keep-Alive", std::string("timeout=") + seconds}};
+        const std::optional<base::duration> timeout = platform_dialect.read_answer(head).idle_timeout;
+        REQUIRE(timeout);
+        CHECK(*timeout == (seconds[0] == '-' ? std::chrono::hours(0) : std::chrono::hours(24)));
+    }
+}
+
+TEST_CASE("token counts of a prompt that are negative or too large to be added are limited") {
+    const platform::dialect platform_dialect;
+    const auto read = [&](const std::string& count) {
+        return platform_dialect
+            .read_request(head_with({{"X-Token-Usage", count + ',' + count},
+                                     {"X-Prefix-Hash", "1:" + count + ",2:" + count},
+                                     {"X-Length-Hint", count}}))
+            ->prompt;
+    };
+    constexpr std::int64_t sound = 1000000;
+    const dispatch::prompt_info high = read("9223372036854775807");
+    CHECK(high.prompt_tokens.value() >= sound);
+    CHECK(high.prompt_tokens.value() <= INT64_MAX / 1000);
+    CHECK(high.max_output_tokens.value() <= INT64_MAX / 1000);
+    CHECK(high.output_tokens_hint->value() <= INT64_MAX / 1000);
+    REQUIRE(high.parts.size() == 2);
+    CHECK(high.parts[0].tokens.value() <= INT64_MAX / 1000);
+    const dispatch::prompt_info low = read("-5");
+    CHECK(low.prompt_tokens.value() == 0);
+    CHECK(low.max_output_tokens.value() == 0);
+    CHECK(low.output_tokens_hint.value_or(dispatch::token_count(0)).value() == 0);
+}
+
 TEST_CASE("an upstream entry with missing, mistyped or unknown values is refused") {
     REQUIRE(platform::decode_upstream("u", upstream_spec()));
     CHECK(platform::decode_upstream("u", upstream_spec())->started_ms == 1700000000123);
@@ -120,6 +156,131 @@
     CHECK_FALSE(platform::decode_upstream("u", json()));
 }
 
+TEST_CASE("an upstream entry whose numbers are out of range, not whole or of another type is refused") {
+    for (const char* const slots :
+         {"1e300", "-1e300", "1e10", "2147483648", "18446744073709551615", "4.5", "0", "-1", "0.5"}) {
+        CAPTURE(slots);
+        json odd = upstream_spec();
+        odd["slots"] = json::parse(slots);
+        CHECK_FALSE(platform::decode_upstream("u", odd));
+    }
+    for (const char* const born : {"1e300", "-1", "1.5", "18446744073709551615", "\"1700000000123\"", "[]"}) {
+        CAPTURE(born);
+        json odd = upstream_spec();
+        odd["born"] = json::parse(born);
+        CHECK_FALSE(platform::decode_upstream("u", odd));
+    }
+    json odd_zone = upstream_spec();
+    odd_zone["zone"] = 5;
+    CHECK_FALSE(platform::decode_upstream("u", odd_zone));
+    json unborn = upstream_spec();
+    unborn.erase("born");
+    unborn["slots"] = 4.0;
+    REQUIRE(platform::decode_upstream("u", unborn));
+    CHECK(platform::decode_upstream("u", unborn)->started_ms == 0);
+    CHECK(platform::decode_upstream("u", unborn)->slots.value() == 4);
+}
+
+TEST_CASE("an upstream entry whose name would add a line or a word to a request is refused") {
+    for (const char* const name : {"", "u\r\nX-Tenant: t", "u\n", "u v", "u\t", "\x7f"}) {
+        CAPTURE(name);
+        CHECK_FALSE(platform::decode_upstream(name, upstream_spec()));
+    }
+    CHECK(platform::decode_upstream("i-7f3a91c2", upstream_spec()));
+}
+
+TEST_CASE("a fault of an entry is new once, and again after another cause or a sound reading") {
+    platform::fault_record faults;
+    CHECK(faults.add("servers", "u", "deep"));
+    CHECK_FALSE(faults.add("servers", "u", "deep"));
+    CHECK(faults.add("servers", "v", "deep"));
+    CHECK(faults.add("routers", "u", "deep"));
+    CHECK(faults.add("servers", "u", "no address"));
+    faults.remove("servers", "u");
+    CHECK(faults.add("servers", "u", "no address"));
+    CHECK_FALSE(faults.add("routers", "u", "deep"));
+}
+
+TEST_CASE("the record of faults does not grow without limit") {
+    platform::fault_record faults;
+    std::size_t recorded = 0;
+    for (std::size_t i = 0; i < 2 * platform::fault_record::max_objects; ++i) {
+        recorded += faults.add("servers", std::to_string(i), "deep") ? 1 : 0;
+    }
+    CHECK(recorded == platform::fault_record::max_objects);
+}
+
+TEST_CASE("an upstream entry whose port is out of range is refused") {
+    for (const char* const port : {"0", "65536", "80000", "-1", "99999999999999999999", "8e1", "", "80 "}) {
+        CAPTURE(port);
+        json odd = upstream_spec();
+        odd["address"] = std::string("10.0.0.1:") + port;
+        CHECK_FALSE(platform::decode_upstream("u", odd));
+    }
+}
+
+TEST_CASE("numbers of a configuration that are out of range are limited and not converted to others") {
+    const auto decode = [](const std::string& number) {
+        const std::string text =
+            R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","route_type":"safe","service":"s",)"
+            R"("timeout_ms":N,"target_latency_ms":N,"max_attempts":N,"priority":N}],"services":[{"name":"s",)"
+            R"("max_connections":N,"engine":{"slots":N,"kv_capacity":N}}],"limits":{"max_header_bytes":N,)"
+            R"("max_body_bytes":N,"header_timeout_ms":N,"idle_timeout_ms":N}})";
+        std::string filled;
+        for (const char c : text) {
+            filled += c == 'N' ? number : std::string(1, c);
+        }
+        return platform::decode_catalogue(json::parse(filled));
+    };
+    const base::result<dispatch::catalogue_ptr> high = decode("1e300");
+    REQUIRE(high);
+    const dispatch::route& route = (*high)->routes.front();
+    const dispatch::pool& pool = *(*high)->find(base::pool_id("s"));
+    const std::chrono::hours day(24);
+    CHECK(route.timeout >= day);
+    CHECK(route.objective >= day);
+    // Deadlines are computed by adding these to the time.
+    CHECK(route.timeout <= day * 366);
+    CHECK(route.objective <= day * 366);
+    CHECK(route.max_attempts >= 1000);
+    CHECK(route.priority >= 1000);
+    CHECK(pool.max_connections >= 1000000);
+    CHECK(pool.engine->slots.value() >= 1000000);
+    CHECK(pool.engine->memory.value() >= 1000000000);
+    CHECK((*high)->limits.head_bytes >= 1000000000);
+    CHECK((*high)->limits.body_bytes >= 1000000000);
+    CHECK((*high)->limits.head_timeout >= day);
+    CHECK((*high)->limits.idle_timeout >= day);
+    const base::result<dispatch::catalogue_ptr> low = decode("-1e300");
+    REQUIRE(low);
+    CHECK((*low)->routes.front().timeout == base::duration::zero());
+    CHECK((*low)->routes.front().max_attempts == 1);
+    CHECK((*low)->routes.front().priority <= -1000);
+    CHECK((*low)->limits.body_bytes == 0);
+    CHECK((*low)->find(base::pool_id("s"))->engine->slots.value() == 1);
+    CHECK((*low)->find(base::pool_id("s"))->engine->memory.value() == 0);
+}
+
+TEST_CASE("a configuration whose version is not a whole number is refused") {
+    for (const char* const version : {"1e300", "-1", "1.5", "true"}) {
+        CAPTURE(version);
+        CHECK_FALSE(platform::decode_catalogue(
+            json::parse(std::string(R"({"routes":[],"version":)") + version + "}")));
+    }
+    CHECK(platform::decode_catalogue(json::parse(R"({"routes":[],"version":18446744073709551615})"))
+              .value()
+              ->version.value() == UINT64_MAX);
+}
+
+TEST_CASE("a router's entry with a processor count out of range is refused") {
+    for (const char* const cores : {"1e300", "-1", "\"4\""}) {
+        CAPTURE(cores);
+        CHECK_FALSE(platform::decode_router(
+            "r", json::parse(std::string(R"({"address":"10.0.0.1:1","ops":"10.0.0.1:2","processor":)") +
+                             cores + "}")));
+    }
+}
+
 TEST_CASE("a configuration is decoded with its routes, pools, keys and limits") {
     const json spec = json::parse(R"({"version":7,"routes":[
         {"name":"r1","host":"H.example","path_prefix":"/a/","route_type":"streaming","timeout_ms":15000,
@@ -174,7 +335,7 @@
     self.data_centre = base::data_centre_id("z");
     self.control = {"10.0.0.1", 7400};
     self.admin = {"10.0.0.1", 8780};
-    const std::optional<decision::vm_entry> decoded =
+    const base::result<decision::vm_entry> decoded =
         platform::decode_router("edge-1", platform::encode_router(self));
     REQUIRE(decoded);
     CHECK(decoded->control == self.control);
