Tell callers that are refused for lag to return after the lag

Cause: reading a request that is refused takes processor time too, and the callers were told to return after 20 to 40 ms. Change: they are told to return after one to two times the lag.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,9 +17,6 @@
 constexpr std::size_t max_buffered_answer = std::size_t{256} << 10U;
 /// Longest event of a stream.
 constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
-/// Minimum retry delay stated to callers whose requests are refused because the router is overloaded. Up to
-/// the same time is added at random.
-constexpr base::duration overload_retry_delay = std::chrono::milliseconds(20);
 /// Retry delay stated to callers whose requests are refused because the relay stops; another router can take
 /// them at once.
 constexpr base::duration stop_retry_delay = std::chrono::milliseconds(100);
@@ -187,10 +184,12 @@
         if (costly) {
             count_refused(*info);
         }
-        // The caller's next attempt can reach another router, which is not overloaded.
-        std::uniform_int_distribution<base::duration::rep> jitter(0, overload_retry_delay.count());
+        // Reading a request takes processor time also if it is refused: callers that return at once keep the
+        // router behind.
+        const base::duration delay = saturation_.lag();
+        std::uniform_int_distribution<base::duration::rep> jitter(0, delay.count());
         return refuse(connection, *info, 503, base::error_code::queue_full,
-                      overload_retry_delay + base::duration(jitter(random_)));
+                      delay + base::duration(jitter(random_)));
     }
     if (body_bytes_ + body.size() > settings_.max_body_bytes) {
         return refuse(connection, *info, 503, base::error_code::queue_full);
