Keep the levels of accounts when the sums are moved to a new origin of time

Cause: sums are divided by about e^10 every 20 s or more, while the fair level and the bound on service kept the old scale until the next update, 100 ms later. Until then each account stood at 0.00005 of its place, so that no limit held and the order of the queue was lost, at a different moment on each router. Change: the levels are divided by the same factor. Test seen failing before: 0.0000496 instead of 1.8.

--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -48,6 +48,8 @@
         return;
     }
     origin_ = now;
+    fair_level_ /= factor;
+    service_bound_ /= factor;
     fleet_.clear();
     const auto rescale = [&](rates& accounts) {
         for (auto entry = accounts.begin(); entry != accounts.end();) {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -346,6 +346,23 @@
     CHECK_FALSE(share.oldest_report_age(now + milliseconds(50)));
 }
 
+TEST_CASE("an account stays ahead of its share while the sums are moved to a new origin of time") {
+    base::time_point now(std::chrono::hours(1));
+    const base::client_account_id ahead("ahead");
+    fair_share share;
+    share.record_request(ahead, base::cost(1), now);
+    now += seconds(19);
+    share.record_request(ahead, base::cost(4000), now);
+    share.record_service(ahead, base::cost(900), now);
+    share.record_request(base::client_account_id("other"), base::cost(4000), now);
+    share.record_service(base::client_account_id("other"), base::cost(100), now);
+    share.update(now);
+    REQUIRE(share.relative_service(ahead) == Approx(1.8));
+    now += seconds(2);
+    share.record_request(ahead, base::cost(1), now);
+    CHECK(share.relative_service(ahead) == Approx(1.8));
+}
+
 TEST_CASE("no account is ahead of its share while capacity suffices") {
     const base::time_point now(std::chrono::hours(1));
     fair_share share;
