--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t max_buffered_answer = std::size_t{256} << 10U;
 /// Longest event of a stream.
 constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
+/// Largest minimum retry delay stated to callers whose requests are refused because the router is behind.
+constexpr base::duration max_overload_retry_delay = std::chrono::milliseconds(500);
 /// Retry delay stated to callers whose requests are refused because the relay stops; another router can take
 /// them at once.
 constexpr base::duration stop_retry_delay = std::chrono::milliseconds(100);
@@ -186,7 +188,7 @@
         }
         // Reading a request takes processor time also if it is refused: callers that return at once keep the
         // router behind.
-        const base::duration delay = saturation_.lag();
+        const base::duration delay = std::min(saturation_.lag(), max_overload_retry_delay);
         std::uniform_int_distribution<base::duration::rep> jitter(0, delay.count());
         return refuse(connection, *info, 503, base::error_code::queue_full,
                       delay + base::duration(jitter(random_)));
