--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -231,6 +231,11 @@
     if (!deadlines_.empty()) {
         due = std::min(due, deadlines_.begin()->first);
     }
+    if (const std::optional<drain_plan> plan = stop_plan()) {
+        for (const base::time_point step : {plan->refuse_until(), plan->answer_at()}) {
+            due = step > now_ ? std::min(due, step) : due;
+        }
+    }
     const bool waiting =
         std::any_of(queues_.begin(), queues_.end(), [](const auto& queue) { return !queue.second.empty(); });
     if (waiting) {
@@ -258,14 +263,6 @@
     return fresh(now) || !peer || now - *peer > bounds_.max_confirmation_age;
 }
 
-bool dispatcher::drained(base::time_point now) const {
-    if (!drain_started_) {
-        return false;
-    }
-    const base::duration since = now - *drain_started_;
-    return since >= bounds_.max_drain_time || (sessions_.empty() && since >= settings_.min_drain_time);
-}
-
 std::optional<error_code> dispatcher::check_access(const request_read& request, const route& matched) const {
     if (matched.anonymous) {
         return std::nullopt;
@@ -323,7 +320,8 @@
     created.memory_tokens = request.prompt.prompt_tokens + expected_output(request.prompt);
     retry_budget_.count_first_attempt(created.pool, now_);
     limits_.record_request(created.pool, now_);
-    if (drain_started_ && now_ - *drain_started_ > settings_.drain_accept_time) {
+    const std::optional<drain_plan> plan = stop_plan();
+    if (plan && now_ > plan->accept_until()) {
         return end_session(created, 503, error_code::draining, std::chrono::milliseconds(100));
     }
     if (blocked(created)) {
@@ -940,14 +938,6 @@
     return members_.knows_peers() ? members_.members().size() : assumed_fleet_size;
 }
 
-void dispatcher::on(const decision::drain_requested& /*request*/) {
-    if (!drain_started_) {
-        drain_started_ = now_;
-        members_.announce_leaving(now_);
-        base::log_event(log_level::info, "dispatcher", "draining", {{"sessions", sessions_.size()}});
-    }
-}
-
 void dispatcher::on(const decision::report_requested& request) {
     request.reply->try_push(report(now_));
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "decision/retry.h"
 #include "dispatch/attribution.h"
 #include "dispatch/delegation.h"
+#include "dispatch/drain.h"
 #include "dispatch/event.h"
 #include "dispatch/placement.h"
 #include "dispatch/share.h"
@@ -28,10 +29,6 @@
     /// Processor time of this VM, in cores.
     double cpu_cores = 1;
     dispatcher_bounds bounds;
-    /// How long a draining router still accepts requests, so that load balancers notice in time.
-    base::duration drain_accept_time = std::chrono::milliseconds(3000);
-    /// Shortest time that a draining router keeps running.
-    base::duration min_drain_time = std::chrono::milliseconds(3200);
     std::uint64_t seed = 1;
 };
 
@@ -145,6 +142,8 @@
     void on(const decision::report_requested& request);
 
     [[nodiscard]] bool fresh(base::time_point now) const;
+    /// Returns the steps of the planned stop; empty if none was asked for.
+    [[nodiscard]] std::optional<drain_plan> stop_plan() const;
     [[nodiscard]] std::optional<base::error_code> check_access(const request_read& request,
                                                                const route& matched) const;
     base::duration estimate_earlier_attempts(const route& matched,
--- /dev/null
+++ b/src/dispatch/drain.cpp
@@ -0,0 +1,60 @@
+// The planned stop of a router: which requests it still takes and sends, and how it answers the rest.
+#include "dispatch/drain.h"
+
+#include "base/log.h"
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+
+namespace bluebell::dispatch {
+namespace {
+
+using base::log_level;
+
+/// A load balancer removes a router after two missed readiness checks, which it makes a second apart. The
+/// rest covers the answer to the second check and connections that are being opened meanwhile.
+constexpr base::duration readiness_interval = std::chrono::seconds(1);
+constexpr int missed_checks = 2;
+constexpr base::duration removal_time = std::chrono::milliseconds(500);
+constexpr base::duration notice_time = readiness_interval * missed_checks + removal_time;
+/// Accepting ends after this part of the time until requests are answered, if load balancers would need more:
+/// the requests that were accepted need the rest.
+constexpr int accept_divisor = 2;
+/// How long a router without requests still refuses callers that were sent to it before it was removed.
+constexpr base::duration refuse_time = std::chrono::milliseconds(700);
+/// Time before the end of the grace at which open requests are answered: this part of the grace, and at most
+/// `max_answer_margin`. Callers count an answer that is cut before the last sixth of the grace as lost.
+constexpr int answer_margin_divisor = 8;
+constexpr base::duration max_answer_margin = std::chrono::seconds(1);
+/// Part of that time in which callers may take the rest of their answers; in the other part the process ends.
+constexpr int deliver_divisor = 2;
+
+} // namespace
+
+drain_plan::drain_plan(base::time_point signalled_at, base::duration grace) {
+    const base::duration margin = std::min(max_answer_margin, grace / answer_margin_divisor);
+    answer_at_ = signalled_at + grace - margin;
+    deliver_until_ = answer_at_ + margin / deliver_divisor;
+    accept_until_ = signalled_at + std::min(notice_time, (answer_at_ - signalled_at) / accept_divisor);
+    refuse_until_ = std::min(accept_until_ + refuse_time, answer_at_);
+}
+
+void dispatcher::on(const decision::drain_requested& /*request*/) {
+    if (!drain_started_) {
+        drain_started_ = now_;
+        members_.announce_leaving(now_);
+        base::log_event(log_level::info, "dispatcher", "draining", {{"sessions", sessions_.size()}});
+    }
+}
+
+std::optional<drain_plan> dispatcher::stop_plan() const {
+    return drain_started_ ? std::optional<drain_plan>(drain_plan(*drain_started_, bounds_.grace))
+                          : std::nullopt;
+}
+
+bool dispatcher::drained(base::time_point now) const {
+    const std::optional<drain_plan> plan = stop_plan();
+    return plan && (now >= plan->answer_at() || (sessions_.empty() && now >= plan->refuse_until()));
+}
+
+} // namespace bluebell::dispatch
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -181,8 +181,8 @@
     base::duration report_interval = std::chrono::milliseconds(100);
     /// Age of the view confirmed by the delegate from which on a router reads the store itself.
     base::duration max_delegate_view_age = std::chrono::milliseconds(1500);
-    /// Longest time that a draining router keeps running.
-    base::duration max_drain_time = std::chrono::milliseconds(7500);
+    /// Time from the signal to stop until the process is killed.
+    base::duration grace = std::chrono::seconds(8);
 };
 
 /// The relay accepts connections and has no request in progress; those that it had before are lost.
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -39,8 +39,6 @@
 constexpr std::int64_t reserved_descriptors = 1200;
 /// The bodies of requests in progress may take up to the process memory divided by this number.
 constexpr std::uint64_t body_memory_divisor = 6;
-/// Time before the stop bound at which a drain stops waiting for requests, so that the workers can still end.
-constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
 
 std::vector<base::setting_spec> make_schema() {
     return {
@@ -76,7 +74,7 @@
                        "retries of the fleet that a pool may have besides"),
         ranged_setting("bounds", "drain", setting_type::time_span, "2s", "500ms", "1h",
                        "an upstream that leaves gets no new work after this time"),
-        ranged_setting("bounds", "stop", setting_type::time_span, "8s", "2s", "1h",
+        ranged_setting("bounds", "stop", setting_type::time_span, "8s", "500ms", "1h",
                        "time from the signal to stop until the process is killed"),
         ranged_setting("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "5s",
                        "interval of the reports of work in progress to the other routers"),
@@ -120,7 +118,7 @@
     bounds.report_interval = settings.report_interval;
     bounds.max_delegate_view_age =
         std::chrono::duration_cast<base::duration>(settings.drain * delegate_share);
-    bounds.max_drain_time = settings.stop_limit - stop_margin;
+    bounds.grace = settings.stop_limit;
     return bounds;
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -911,6 +911,47 @@
     CHECK(router.decisions().drained(router.now()));
 }
 
+namespace {
+
+/// Starts a planned stop with this time until the process is killed.
+void drain_with_grace(dispatcher_fixture& router, base::duration grace) {
+    dispatcher_bounds bounds = dispatcher_fixture::settings().bounds;
+    bounds.grace = grace;
+    router.handle(bounds);
+    router.handle(decision::drain_requested{});
+}
+
+} // namespace
+
+TEST_CASE(
+    "a draining router accepts for two missed readiness checks, and not up to the limit of late requests") {
+    dispatcher_fixture router;
+    router.handle(decision::drain_requested{});
+    router.advance(milliseconds(2400));
+    CHECK(router.sent(router.request("/order/1")) != nullptr);
+    router.advance(milliseconds(400));
+    const session_id late = router.request("/order/2");
+    CHECK(router.sent(late) == nullptr);
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(router.ended(late)->status == 503);
+    CHECK(router.ended(late)->retry_after);
+}
+
+TEST_CASE("a stop with a short grace accepts no request in its second half") {
+    const base::duration grace = GENERATE(milliseconds(1000), milliseconds(2000), milliseconds(2500),
+                                          milliseconds(4000), milliseconds(5500));
+    CAPTURE(grace.count());
+    dispatcher_fixture router;
+    drain_with_grace(router, grace);
+    router.advance(grace / 4);
+    CHECK(router.sent(router.request("/order/1")) != nullptr);
+    router.advance(grace / 4);
+    const session_id late = router.request("/order/2");
+    CHECK(router.sent(late) == nullptr);
+    REQUIRE(router.ended(late) != nullptr);
+    CHECK(router.ended(late)->status == 503);
+}
+
 TEST_CASE("reports of other routers count against an engine's slots") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
     const decision::envelope first_message = greeting();
