--- a/src/decision/event.h
+++ b/src/decision/event.h
@@ -129,7 +129,10 @@
 };
 
 /// The router is to drain.
-struct drain_requested {};
+struct drain_requested {
+    /// When the process was told to stop; empty if that is now.
+    std::optional<base::time_point> signalled_at;
+};
 
 /// One named value of a state report.
 struct state_value {
--- a/src/dispatch/drain.cpp
+++ b/src/dispatch/drain.cpp
@@ -43,9 +43,10 @@
     refuse_until_ = std::min(accept_until_ + refuse_time, answer_at_);
 }
 
-void dispatcher::on(const decision::drain_requested& /*request*/) {
+/// The grace runs from the signal, which the event may reach the dispatcher long after while it is behind.
+void dispatcher::on(const decision::drain_requested& request) {
     if (!drain_started_) {
-        drain_started_ = now_;
+        drain_started_ = request.signalled_at.value_or(now_);
         members_.announce_leaving(now_);
         base::log_event(log_level::info, "dispatcher", "draining", {{"sessions", sessions_.size()}});
     }
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -273,7 +273,7 @@
 }
 
 void node::drain() {
-    events_.push(decision::drain_requested{}, report_timeout);
+    events_.push(decision::drain_requested{clock_.now()}, report_timeout);
 }
 
 bool node::drained() const {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1034,6 +1034,19 @@
     CHECK(router.decisions().drained(router.now()));
 }
 
+TEST_CASE("a router that handles the signal to stop late counts the grace from the signal") {
+    dispatcher_fixture router;
+    const session_id running = router.request("/order/1");
+    const base::time_point signalled_at = router.now();
+    router.advance(milliseconds(1500));
+    router.handle(decision::drain_requested{signalled_at});
+    router.advance(milliseconds(1200));
+    CHECK(router.sent(router.request("/order/2")) == nullptr);
+    router.advance(milliseconds(4400));
+    REQUIRE(router.ended(running) != nullptr);
+    CHECK(router.decisions().drained(router.now()));
+}
+
 TEST_CASE("reports of other routers count against an engine's slots") {
     dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
     const decision::envelope first_message = greeting();
