--- a/src/decision/lifecycle.cpp
+++ b/src/decision/lifecycle.cpp
@@ -268,6 +268,22 @@
     }
 }
 
+void lifecycle::answer_open(error_code code, base::time_point now) {
+    refuse_waiting(code, now);
+    while (!requests_.empty()) {
+        const entry_map::iterator it = requests_.begin();
+        entry& tracked = it->second;
+        --running_count_;
+        schedule_.end(tracked.attributes.id, base::cost(0), now);
+        if (tracked.attributes.repeatable) {
+            cancel_attempt(tracked);
+        }
+        finish(it,
+               {outcome::outcome_unknown, error{code, "", "the router stops before the answer is complete"}},
+               now);
+    }
+}
+
 lifecycle_output lifecycle::take() {
     return std::exchange(output_, {});
 }
--- a/src/decision/lifecycle.h
+++ b/src/decision/lifecycle.h
@@ -61,6 +61,9 @@
     /// Refuses every request that is not dispatched, with `code`, and from now on every one that would have
     /// to wait again. Used when the drain limit has passed.
     void refuse_waiting(base::error_code code, base::time_point now);
+    /// Ends every request with `code`: `outcome_unknown` if an upstream may have run it, otherwise `not_run`.
+    /// Used when the process is about to end.
+    void answer_open(base::error_code code, base::time_point now);
 
     /// Returns and clears the decisions made since the previous call.
     [[nodiscard]] lifecycle_output take();
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -43,6 +43,8 @@
         return "draining";
     case drain_state::finishing:
         return "finishing";
+    case drain_state::answered:
+        return "answered";
     case drain_state::drained:
         return "drained";
     }
@@ -80,6 +82,9 @@
     if (drain_.tick(lifecycle_.size() + claim_client_.size(), now)) {
         lifecycle_.refuse_waiting(error_code::draining, now);
     }
+    if (drain_.answers_due(now)) {
+        lifecycle_.answer_open(error_code::draining, now);
+    }
     collect_output();
 }
 
@@ -224,8 +229,8 @@
 
 void router::on(const lease_answered& /*answer*/) {}
 
-void router::on(const drain_requested& /*request*/) {
-    drain_.begin(now_);
+void router::on(const drain_requested& request) {
+    drain_.begin(request.signalled_at.value_or(now_));
     members_.announce_leaving(now_);
 }
 
--- a/src/dispatch/drain.cpp
+++ b/src/dispatch/drain.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/drain.h"
 
 #include "base/log.h"
+#include "decision/drain.h"
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
@@ -24,11 +25,8 @@
 constexpr int accept_divisor = 2;
 /// How long a router without requests still refuses callers that were sent to it before it was removed.
 constexpr base::duration refuse_time = std::chrono::milliseconds(700);
-/// Time before the end of the grace at which open requests are answered: this part of the grace, and at most
-/// `max_answer_margin`. Callers count an answer that is cut before the last sixth of the grace as lost.
-constexpr int answer_margin_divisor = 8;
-constexpr base::duration max_answer_margin = std::chrono::seconds(1);
-/// Part of that time in which callers may take the rest of their answers; in the other part the process ends.
+/// Part of the time between the answers to open requests and the kill in which callers may take the rest of
+/// their answers; in the other part the process ends.
 constexpr int deliver_divisor = 2;
 /// Time after which callers that are refused during a stop are to return; another router takes them at once.
 constexpr base::duration return_time = std::chrono::milliseconds(100);
@@ -36,7 +34,7 @@
 } // namespace
 
 drain_plan::drain_plan(base::time_point signalled_at, base::duration grace) {
-    const base::duration margin = std::min(max_answer_margin, grace / answer_margin_divisor);
+    const base::duration margin = decision::answer_margin(grace);
     answer_at_ = signalled_at + grace - margin;
     deliver_until_ = answer_at_ + margin / deliver_divisor;
     accept_until_ = signalled_at + std::min(notice_time, (answer_at_ - signalled_at) / accept_divisor);
--- a/src/root/daemon.cpp
+++ b/src/root/daemon.cpp
@@ -169,6 +169,7 @@
     router.journal.min_write_interval = settings_.claim_spacing;
     router.journal.retention = settings_.claim_retention;
     router.drain.limit = settings_.drain_limit;
+    router.drain.grace = settings_.stop_grace;
     return router;
 }
 
@@ -181,7 +182,7 @@
 }
 
 void daemon::drain() {
-    events_.push(decision::drain_requested{}, report_timeout);
+    events_.push(decision::drain_requested{clock_.now()}, report_timeout);
 }
 
 bool daemon::drained() const {
--- a/src/root/options.cpp
+++ b/src/root/options.cpp
@@ -57,6 +57,8 @@
                              "10min", "longest silence within an answer"),
         base::ranged_setting("drain", "limit", setting_type::time_span, "1min", "1s", "1h",
                              "how long a stop waits for waiting requests"),
+        base::ranged_setting("drain", "grace", setting_type::time_span, "24h", "1s", "24h",
+                             "time from the signal to stop until the process is killed"),
         base::log_level_setting(),
     };
 }
@@ -87,6 +89,7 @@
     result.first_byte_timeout = values.time("upstream", "first_byte_timeout");
     result.between_bytes_timeout = values.time("upstream", "between_bytes_timeout");
     result.drain_limit = values.time("drain", "limit");
+    result.stop_grace = values.time("drain", "grace");
     result.log = base::log_level_of(values.text("log", "level"));
     return result;
 }
--- a/src/root/options.h
+++ b/src/root/options.h
@@ -46,6 +46,8 @@
     base::duration between_bytes_timeout{};
     /// How long a graceful stop waits for waiting requests.
     base::duration drain_limit{};
+    /// Time from the signal to stop until the process is killed.
+    base::duration stop_grace{};
     base::log_level log = base::log_level::info;
 };
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -106,6 +106,7 @@
         options.seed = options.member.seed = random_();
         options.claims.partitions = options.journal.partitions = 4;
         options.drain.limit = 5s;
+        options.drain.grace = grace;
         options.retry = retry;
         target.decisions = std::make_unique<router>(options, clock.now());
         store::journal_settings settings;
@@ -249,6 +250,8 @@
     base::manual_clock clock;
     test::fake_store store;
     retry_settings retry;
+    /// Time from the signal to stop until the process is killed, of routers that are started.
+    base::duration grace = 24h;
     double loss_rate = 0;
     double duplication_rate = 0;
     base::duration service_time = 100ms;
@@ -512,6 +515,40 @@
     cluster.check();
 }
 
+TEST_CASE("a drain answers every request before a short grace ends") {
+    router_cluster cluster(1, 16);
+    cluster.grace = 2s;
+    cluster.start(0);
+    cluster.run(3s);
+    cluster.service_time = 15s;
+    std::vector<sent_request> sent;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        sent.push_back(cluster.send(0, i % 2 == 0 ? std::optional<std::uint64_t>(i + 1) : std::nullopt));
+    }
+    cluster.run(500ms);
+    cluster.deliver(0, drain_requested{});
+    cluster.run(1s);
+    std::size_t running = 0;
+    for (const sent_request& entry : sent) {
+        running += entry.caller->finish_count == 0 ? 1 : 0;
+        CHECK((entry.caller->run_count == 1) == (entry.caller->finish_count == 0));
+    }
+    CHECK(running == 12);
+    cluster.run(667ms);
+    CHECK_FALSE(cluster.at(0).decisions->drained());
+    cluster.run(200ms);
+    for (const sent_request& entry : sent) {
+        const bool ran = entry.caller->run_count == 1;
+        CHECK(entry.caller->finish_count == 1);
+        CHECK(entry.caller->final_verdict.result == (ran ? outcome::outcome_unknown : outcome::not_run));
+        CHECK((entry.caller->final_verdict.cause &&
+               entry.caller->final_verdict.cause->code == error_code::draining));
+    }
+    CHECK(cluster.at(0).decisions->drained());
+    cluster.run(25s);
+    cluster.check();
+}
+
 TEST_CASE("a draining router serves its waiting requests before the limit") {
     router_cluster cluster(2, 14);
     for (std::uint64_t i = 0; i < 60; ++i) {
