--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -108,6 +108,11 @@
                                      : prompt.max_output_tokens;
 }
 
+/// Value of a level for logs, where -1 stands for an infinite one.
+double level_field(base::cost level) {
+    return std::isinf(level.value()) ? -1 : level.value();
+}
+
 decision::state_value make_value(const std::string& name, double value) {
     return {name, std::to_string(value)};
 }
@@ -353,6 +358,7 @@
         return;
     }
     next_share_line_ = now_ + share_line_interval;
+    const service_levels levels = fair_share_.levels(now_);
     if (const std::optional<worst_served_account> worst = fair_share_.worst_served(now_)) {
         base::log_event(log_level::info, "dispatcher", "worst_served_account",
                         {{"account", worst->account.value()},
@@ -361,6 +367,9 @@
                          {"requested_tokens", worst->requested.value()},
                          {"best_served", worst->best_served.value()},
                          {"greatest_service_tokens", worst->greatest_service.value()},
+                         {"fair_level_tokens", level_field(levels.fair)},
+                         {"stated_level_tokens", level_field(levels.stated)},
+                         {"service_bound_tokens", level_field(levels.bound)},
                          {"pressure", fair_share_.pressure()},
                          {"engine_occupancy", placement_.engine_occupancy()}});
     }
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -49,6 +49,7 @@
     }
     origin_ = now;
     fair_level_ /= factor;
+    stated_level_ /= factor;
     service_bound_ /= factor;
     fleet_.clear();
     const auto rescale = [&](rates& accounts) {
@@ -183,6 +184,7 @@
     }
     pressure_ = served > 0 ? requested_sum / served : 1;
     fair_level_ = std::numeric_limits<double>::infinity();
+    stated_level_ = std::numeric_limits<double>::infinity();
     service_bound_ = std::numeric_limits<double>::infinity();
     if (!overloaded()) {
         behind_since_.clear();
@@ -192,8 +194,8 @@
     fair_level_ = max_min_level(requested, served);
     const double stated_capacity =
         stated_throughput_ * std::chrono::duration<double>(decay_time).count() * weight(now);
-    const double guaranteed =
-        guaranteed_share * (stated_capacity > 0 ? max_min_level(requested, stated_capacity) : fair_level_);
+    stated_level_ = stated_capacity > 0 ? max_min_level(requested, stated_capacity) : 0;
+    const double guaranteed = guaranteed_share * (stated_capacity > 0 ? stated_level_ : fair_level_);
     // The fair level alone bounds no gap: it follows what was served, and what an account cannot use of its
     // share goes to the others.
     service_bound_ = std::max(find_least_service(now) / min_service_ratio, guaranteed);
@@ -254,6 +256,12 @@
     return worst;
 }
 
+service_levels fair_share::levels(base::time_point now) const {
+    const double factor = weight(now);
+    return {base::cost(fair_level_ / factor), base::cost(stated_level_ / factor),
+            base::cost(service_bound_ / factor)};
+}
+
 std::optional<base::duration> fair_share::oldest_report_age(base::time_point now) const {
     std::optional<base::duration> oldest;
     for (const auto& [vm, report] : peers_) {
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -25,6 +25,17 @@
     double share = 1;
 };
 
+/// Service that decisions compare that of an account with, as decayed costs. Infinite while the capacity
+/// suffices for all.
+struct service_levels {
+    /// Level at which the accounts use up what the fleet serves.
+    base::cost fair;
+    /// Level at which they would use up the throughput that the operator states; zero if that is unknown.
+    base::cost stated;
+    /// Service beyond which requests of an account wait.
+    base::cost bound;
+};
+
 /// Max-min fair shares of the engines' throughput among client accounts over the whole fleet.
 ///
 /// Every router counts the cost that each account requested and was served, with exponential decay, and
@@ -79,6 +90,9 @@
     /// Returns the account with the least share, for logs; empty if there is no account.
     [[nodiscard]] std::optional<worst_served_account> worst_served(base::time_point now) const;
 
+    /// Levels of the last `update`, for logs.
+    [[nodiscard]] service_levels levels(base::time_point now) const;
+
     /// Age of the oldest report of a peer that the sums contain; in a fleet with delegates, of the last
     /// answer of the delegate. Empty if they contain none.
     [[nodiscard]] std::optional<base::duration> oldest_report_age(base::time_point now) const;
@@ -111,6 +125,7 @@
     rates fleet_;
     double stated_throughput_ = 0;
     double fair_level_ = 0;
+    double stated_level_ = 0;
     double pressure_ = 1;
     /// Backlogged accounts whose service is below `min_service_ratio`, with the time since when.
     std::map<base::client_account_id, base::time_point> behind_since_;
