Take back the service of a request that no upstream has run

Cause: the cost of a request counted as service of its account as soon as it was placed, and stayed counted when the upstream refused it, had gone, or broke off before the answer began. While a quarter of the engines crashes, an account whose work was lost stood as served and was held back beside others.

Change: the cost, decayed since it was counted, is taken back when the request ends without the begin of an answer. A request that is answered counts once, whatever attempt answered it.

The test fails without the withdrawal: pressure 1 where 2 is right.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -496,7 +496,8 @@
     request.sent_at = now_;
     request.answering = false;
     placement_.record_sent(choice, request.placed, request.prompt);
-    if (request.needs_engine && request.attempt == 1) {
+    if (request.needs_engine && !request.counted_at) {
+        request.counted_at = now_;
         fair_share_.record_service(request.account, request.cost, now_);
     }
     send_request command;
@@ -608,6 +609,7 @@
     }
     session& request = found->second;
     request.answering = true;
+    request.answered = true;
     request.answering_since = now_;
     if (request.needs_engine) {
         placement_.record_first_event(request.target, request.pool, request.placed.pending_tokens,
@@ -697,6 +699,7 @@
     if (retry(request, attempt)) {
         return;
     }
+    withdraw_service(request);
     if (!request.may_have_run && !fits_into_stop(request)) {
         refuse_for_stop(request);
     } else if (!request.may_have_run) {
@@ -706,6 +709,14 @@
     }
 }
 
+/// A request that ends before its answer has begun was not served, whatever was placed for it.
+void dispatcher::withdraw_service(session& request) {
+    if (request.counted_at && !request.answered) {
+        fair_share_.withdraw_service(request.account, request.cost,
+                                     *std::exchange(request.counted_at, std::nullopt), now_);
+    }
+}
+
 bool dispatcher::retry(session& request, const attempt_finished& attempt) {
     const bool unsent = attempt.outcome == attempt_outcome::unsent;
     const bool not_run = unsent || attempt.outcome == attempt_outcome::refused ||
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -115,6 +115,10 @@
         base::time_point sent_at;
         /// The answer of the current attempt has begun.
         bool answering = false;
+        /// The answer of any attempt has begun.
+        bool answered = false;
+        /// When its cost was counted as service of the account; empty if it is not.
+        std::optional<base::time_point> counted_at;
         /// An attempt ended without the upstream stating that it did not run the request.
         bool may_have_run = false;
         /// When the answer of the current attempt began.
@@ -163,6 +167,7 @@
     [[nodiscard]] bool admit(const session& request, const placement_choice& choice) const;
     [[nodiscard]] double fairness_factor(const session& request) const;
     [[nodiscard]] double capacity_share(const session& request, bool late) const;
+    void withdraw_service(session& request);
     void start_attempt(session& request, const placement_choice& choice);
     void enqueue(session& request);
     void serve_queues();
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -89,6 +89,15 @@
     fleet_[account].served += added;
 }
 
+void fair_share::withdraw_service(const base::client_account_id& account, base::cost amount,
+                                  base::time_point counted_at, base::time_point now) {
+    rebase(now);
+    const double decay = std::exp(-std::chrono::duration<double>(now - counted_at) / decay_time);
+    const double removed = std::min(amount.value() * decay * weight(now), own_[account].served);
+    own_[account].served -= removed;
+    fleet_[account].served = std::max(0.0, fleet_[account].served - removed);
+}
+
 void fair_share::receive_report(const base::vm_id& from, const std::vector<decision::account_work>& accounts,
                                 base::time_point now) {
     rebase(now);
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -62,6 +62,9 @@
     void record_request(const base::client_account_id& account, base::cost amount, base::time_point now);
     /// Counts service that this router gave to the account.
     void record_service(const base::client_account_id& account, base::cost amount, base::time_point now);
+    /// Takes back service that this router counted at `counted_at`, since the request did not run.
+    void withdraw_service(const base::client_account_id& account, base::cost amount,
+                          base::time_point counted_at, base::time_point now);
     /// Takes a report of a peer. For each account that it names, it replaces what the peer reported before.
     void receive_report(const base::vm_id& from, const std::vector<decision::account_work>& accounts,
                         base::time_point now);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -330,6 +330,21 @@
     CHECK_FALSE(share.exceeds_service_bound(starved));
 }
 
+TEST_CASE("a request that no upstream has run does not count as service of its account") {
+    dispatcher_fixture router;
+    const session_id text = router.request("/text/1", "key-a");
+    const session_id served = router.request("/text/1", "key-b");
+    router.handle(answer_started{served, 1});
+    router.advance(milliseconds(150));
+    CHECK(router.value("pressure") == Approx(1).epsilon(0.01));
+    while (router.ended(text) == nullptr) {
+        router.finish(text, attempt_outcome::refused, 503);
+    }
+    router.advance(milliseconds(150));
+    // Two requests of the same cost were made, and one is served.
+    CHECK(router.value("pressure") == Approx(2).epsilon(0.01));
+}
+
 TEST_CASE("the age of the sums is that of the oldest report in them, and there is none without a report") {
     const base::time_point now(std::chrono::hours(1));
     const decision::account_work work{base::client_account_id("a"), base::cost(100), base::cost(100)};
