Admit the same share of an account's requests at all routers while a flood lasts

Cause: while many accounts flood at once, nothing bounds what reaches the queues and the engines. Each router decides by how much room it sees, half a second late, and refuses by its own lag, whatever the account. The class of fault: a fleet-wide resource that is granted by local, stale decisions in proportion to how much is offered.

Change: the dispatcher computes for each account the share of its requests that the fleet can begin at a common max-min level, and the relay draws by it when it has read a request. Requests count for it with a time constant of half a second, returns included; reports carry them beside the sums of two seconds, on which the other decisions stay. The part of the peers is taken to have grown as the own one since it was reported. Refused callers are told a time that grows with the excess. Work reports have another format, and with it the format version: routers of this version and earlier ones ignore each other.

The test of a flood that other routers have not reported yet was not seen failing with the growth switched off.

--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -255,12 +255,15 @@
     std::vector<std::uint64_t> prompt_parts;
 };
 
-/// Costs that one account requested and was served at the sender. Both decay exponentially with the time
+/// Costs that one account requested and was served at the sender. They decay exponentially with the time
 /// constant `dispatch::fair_share::decay_time`.
 struct account_work {
     base::client_account_id account;
     base::cost served;
     base::cost requested;
+    /// As `requested`, with the time constant `dispatch::fair_share::recent_decay_time`, and scaled so that
+    /// both are the same under a constant load.
+    base::cost recently_requested;
 };
 
 /// Work that the sender has in progress, or the sum over the routers that it reports for. For each upstream
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -211,6 +211,7 @@
         fair_share_.update(now);
         log_worst_served_account();
         placement_.update(now);
+        admission_ = fair_share_.admission(placement_.engine_load(), now);
         limits_.set_fleet_size(fleet_size());
         limits_.update(now);
         update_retry_budget();
@@ -342,6 +343,8 @@
     }
     if (created.needs_engine && created.earlier_attempts_time == base::duration::zero()) {
         fair_share_.record_request(created.account, created.cost, now_);
+    } else if (created.needs_engine) {
+        fair_share_.record_return(created.account, created.cost, now_);
     }
     session& accepted = sessions_.emplace(request.id, std::move(created)).first->second;
     deadlines_.emplace(accepted.deadline, accepted.id);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "decision/command.h"
 #include "decision/member.h"
 #include "decision/retry.h"
+#include "dispatch/admission.h"
 #include "dispatch/attribution.h"
 #include "dispatch/delegation.h"
 #include "dispatch/drain.h"
@@ -67,6 +68,8 @@
     [[nodiscard]] bool drained(base::time_point now) const;
     /// State for the dump.
     [[nodiscard]] decision::state_report report(base::time_point now);
+    /// Shares of the requests that the relay admits; null if it admits all.
+    [[nodiscard]] const admission_table_ptr& admission() const { return admission_; }
     /// Number of requests in progress.
     [[nodiscard]] std::size_t sessions() const { return sessions_.size(); }
 
@@ -243,6 +246,7 @@
     request_limits limits_;
     placement placement_;
     fair_share fair_share_;
+    admission_table_ptr admission_;
     decision::retry_budget retry_budget_;
     crash_attribution crashes_;
     /// A crash was recorded since the blocks were updated.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -51,6 +51,8 @@
 /// Interval at which the parts of running requests are reported again.
 constexpr base::duration part_refresh_interval = std::chrono::seconds(1);
 constexpr double ns_per_ms = 1e6;
+/// Time to read the prompts that an engine has not read from which on it has no room.
+constexpr base::duration full_prefill_time = std::chrono::milliseconds(400);
 /// Slots of an engine that are left free for requests that other routers have just placed: this many, and no
 /// more than this share of all slots. A request that finds no slot waits for the end of a whole stream.
 constexpr double max_slot_margin = 3;
@@ -383,6 +385,28 @@
     return slots > 0 ? running / slots : 0;
 }
 
+double placement::engine_load() const {
+    double sum = 0;
+    double engines = 0;
+    for (const auto& [pool, ready] : ready_) {
+        const auto model = models_.find(pool);
+        if (!catalogue_ || catalogue_->engine(pool) == nullptr || model == models_.end()) {
+            continue;
+        }
+        for (const candidate& ready_engine : ready) {
+            const placed_work work = ready_engine.state->total();
+            const double slots = static_cast<double>(ready_engine.entry->slots.value());
+            const double by_slots = slots > 0 ? static_cast<double>(work.running) / slots : 0;
+            const double by_reading =
+                std::chrono::duration<double>(model->second.predict(work.pending_tokens)) /
+                std::chrono::duration<double>(full_prefill_time);
+            sum += std::min(1.0, std::max(by_slots, by_reading));
+            ++engines;
+        }
+    }
+    return engines > 0 ? sum / engines : 0;
+}
+
 /// Chooses an engine by rendezvous hashing of the last shared part of the prompt, so that all routers choose
 /// the same one. The last part of a prompt belongs to the request alone; the one before it may be shared.
 const placement::candidate* placement::preferred_engine(const placement_request& request) const {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -167,6 +167,9 @@
     [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
     /// Share of the slots of all ready engines that the fleet's requests occupy.
     [[nodiscard]] double engine_occupancy() const;
+    /// Mean load of the ready engines, each by its slots in use or by the time that it takes to read what it
+    /// has not read, whichever is more; one where an engine has no room.
+    [[nodiscard]] double engine_load() const;
 
 private:
     /// Last report of one router on one upstream.
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <memory>
 #include <utility>
 
 namespace bluebell::dispatch {
@@ -15,6 +16,18 @@
 constexpr double negligible_tokens = 1;
 /// Share of its part of the stated throughput that no account has to leave to others.
 constexpr double guaranteed_share = 0.5;
+/// Admitted requests, as a multiple of what the engines can serve. Above one, since some of those that are
+/// admitted wait for their cached parts and are refused.
+constexpr double admission_margin = 1.15;
+/// Load below which engines are not assumed to have more room.
+constexpr double min_engine_load = 0.3;
+/// Age of the reports in the sums of a large fleet: three intervals and the network.
+constexpr base::duration sums_age = std::chrono::milliseconds(400);
+/// Cost that is added before two sums of one router are compared, so that single requests of a small account
+/// do not count as growth.
+constexpr double growth_threshold_tokens = 5000;
+/// Growth below this factor is taken for the randomness of single requests.
+constexpr double min_growth = 1.5;
 /// Weight at which the origin of time is moved: e^10, reached after 20 s.
 constexpr double max_weight = 22026;
 
@@ -40,6 +53,10 @@
                    : 1;
 }
 
+double fair_share::recent_weight(base::time_point now) const {
+    return origin_ ? std::exp(std::chrono::duration<double>(now - *origin_) / recent_decay_time) : 1;
+}
+
 /// Moves the origin of time to `now` when the weights would grow too large, and forgets accounts whose costs
 /// have become negligible.
 void fair_share::rebase(base::time_point now) {
@@ -47,16 +64,18 @@
     if (origin_ && factor < max_weight) {
         return;
     }
+    const double recent_factor = recent_weight(now);
     origin_ = now;
     fair_level_ /= factor;
     stated_level_ /= factor;
     service_bound_ /= factor;
     fleet_.clear();
-    const auto rescale = [&](rates& accounts) {
+    const auto rescale = [&](rates& accounts, double factor_of_recent) {
         for (auto entry = accounts.begin(); entry != accounts.end();) {
             rate& account_rate = entry->second;
             account_rate.served /= factor;
             account_rate.requested /= factor;
+            account_rate.recently_requested /= factor_of_recent;
             if (account_rate.requested < negligible_tokens && account_rate.served < negligible_tokens) {
                 entry = accounts.erase(entry);
                 continue;
@@ -67,9 +86,12 @@
             ++entry;
         }
     };
-    rescale(own_);
+    rescale(own_, recent_factor);
     for (auto& [peer, report] : peers_) {
-        rescale(report.accounts);
+        rescale(report.accounts, factor);
+        for (const auto& [account, account_rate] : report.accounts) {
+            fleet_[account].recently_requested += account_rate.recently_requested;
+        }
     }
 }
 
@@ -79,6 +101,17 @@
     const double added = amount.value() * weight(now);
     own_[account].requested += added;
     fleet_[account].requested += added;
+    record_return(account, amount, now);
+}
+
+void fair_share::record_return(const base::client_account_id& account, base::cost amount,
+                               base::time_point now) {
+    rebase(now);
+    // Makes the decayed costs of a constant load the same for both time constants.
+    constexpr double scale =
+        std::chrono::duration<double>(decay_time) / std::chrono::duration<double>(recent_decay_time);
+    fleet_.try_emplace(account);
+    own_[account].recently_requested += amount.value() * scale * recent_weight(now);
 }
 
 void fair_share::record_service(const base::client_account_id& account, base::cost amount,
@@ -107,10 +140,12 @@
     for (const decision::account_work& work : accounts) {
         rate& reported = report.accounts[work.account];
         subtract_from_fleet({{work.account, reported}});
-        reported = {work.served.value() * factor, work.requested.value() * factor};
+        reported = {work.served.value() * factor, work.requested.value() * factor,
+                    work.recently_requested.value() * factor};
         rate& sum = fleet_[work.account];
         sum.served += reported.served;
         sum.requested += reported.requested;
+        sum.recently_requested += reported.recently_requested;
     }
 }
 
@@ -119,6 +154,7 @@
         rate& sum = fleet_[account];
         sum.served = std::max(0.0, sum.served - account_rate.served);
         sum.requested = std::max(0.0, sum.requested - account_rate.requested);
+        sum.recently_requested = std::max(0.0, sum.recently_requested - account_rate.recently_requested);
     }
 }
 
@@ -138,7 +174,8 @@
         const double served = account_rate.served / factor;
         const double requested = account_rate.requested / factor;
         if (requested >= negligible_tokens || served >= negligible_tokens) {
-            work.push_back({account, base::cost(served), base::cost(requested)});
+            work.push_back({account, base::cost(served), base::cost(requested),
+                            base::cost(own_recent_requests(account, now))});
         }
     }
     return work;
@@ -160,12 +197,15 @@
             if (reported != report->second.accounts.end()) {
                 remaining.served -= reported->second.served;
                 remaining.requested -= reported->second.requested;
+                remaining.recently_requested -= reported->second.recently_requested;
             }
         }
         const double served = std::max(0.0, remaining.served) / factor;
         const double requested = std::max(0.0, remaining.requested) / factor;
         if (requested >= negligible_tokens || served >= negligible_tokens) {
-            work.push_back({account, base::cost(served), base::cost(requested)});
+            const double recent = std::max(0.0, remaining.recently_requested) / factor;
+            work.push_back({account, base::cost(served), base::cost(requested),
+                            base::cost(recent + own_recent_requests(account, now))});
         }
     }
     return work;
@@ -182,6 +222,7 @@
     for (const base::vm_id& vm : silent) {
         drop_peer(vm);
     }
+    record_history(now);
     double served = 0;
     double requested_sum = 0;
     std::vector<double> requested;
@@ -210,6 +251,61 @@
     service_bound_ = std::max(find_least_service(now) / min_service_ratio, guaranteed);
 }
 
+double fair_share::own_recent_requests(const base::client_account_id& account, base::time_point now) const {
+    const auto own = own_.find(account);
+    return own == own_.end() ? 0 : own->second.recently_requested / recent_weight(now);
+}
+
+void fair_share::record_history(base::time_point now) {
+    recent_requests current{now, {}};
+    for (const auto& [account, account_rate] : own_) {
+        current.requested[account] = own_recent_requests(account, now);
+    }
+    history_.push_back(std::move(current));
+    while (history_.size() > 1 && now - history_[1].at >= sums_age) {
+        history_.pop_front();
+    }
+}
+
+double fair_share::growth(const base::client_account_id& account, base::time_point now) const {
+    if (history_.empty()) {
+        return 1;
+    }
+    const auto earlier = history_.front().requested.find(account);
+    const double before = earlier == history_.front().requested.end() ? 0 : earlier->second;
+    const double ratio =
+        (own_recent_requests(account, now) + growth_threshold_tokens) / (before + growth_threshold_tokens);
+    return ratio >= min_growth ? ratio : 1;
+}
+
+admission_table_ptr fair_share::admission(double engine_load, base::time_point now) const {
+    const double factor = weight(now);
+    double served = 0;
+    std::map<base::client_account_id, double> requested;
+    std::vector<double> sorted;
+    for (const auto& [account, account_rate] : fleet_) {
+        served += account_rate.served / factor;
+        const double amount = own_recent_requests(account, now) +
+                              account_rate.recently_requested / factor * growth(account, now);
+        requested[account] = amount;
+        sorted.push_back(amount);
+    }
+    std::sort(sorted.begin(), sorted.end());
+    const double stated_capacity = stated_throughput_ * std::chrono::duration<double>(decay_time).count();
+    const double load = std::max(engine_load, min_engine_load);
+    // The square makes the engines fill up again after a time in which too little was admitted.
+    const double capacity =
+        std::max(admission_margin * served / (load * load), guaranteed_share * stated_capacity);
+    const double level = max_min_level(sorted, capacity);
+    admission_table::shares limited;
+    for (const auto& [account, amount] : requested) {
+        if (amount > level) {
+            limited[account] = level / amount;
+        }
+    }
+    return limited.empty() ? nullptr : std::make_shared<const admission_table>(std::move(limited));
+}
+
 double fair_share::find_least_service(base::time_point now) {
     double greatest = 0;
     for (const auto& [account, account_rate] : fleet_) {
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -4,7 +4,9 @@
 #include "base/id.h"
 #include "base/unit.h"
 #include "decision/message.h"
+#include "dispatch/admission.h"
 
+#include <deque>
 #include <limits>
 #include <map>
 #include <optional>
@@ -46,6 +48,9 @@
 public:
     /// Time constant of the decay; half of the window over which the operator evaluates fairness.
     static constexpr base::duration decay_time = std::chrono::seconds(2);
+    /// Time constant of the requested costs that admission depends on. Shorter, since admission has to follow
+    /// a flood before it has filled the engines.
+    static constexpr base::duration recent_decay_time = std::chrono::milliseconds(500);
     /// The report of a peer that has been silent for longer than this is dropped.
     static constexpr base::duration report_timeout = std::chrono::seconds(2);
 
@@ -60,6 +65,8 @@
 
     /// Counts a request of the account, whether or not it is served.
     void record_request(const base::client_account_id& account, base::cost amount, base::time_point now);
+    /// Counts the return of a refused caller, whose request was counted before.
+    void record_return(const base::client_account_id& account, base::cost amount, base::time_point now);
     /// Counts service that this router gave to the account.
     void record_service(const base::client_account_id& account, base::cost amount, base::time_point now);
     /// Takes back service that this router counted at `counted_at`, since the request did not run.
@@ -86,6 +93,9 @@
     /// Returns true if the account got so much more than a backlogged one that its requests have to wait,
     /// even where engines have room: what holds the other account back may be its routers.
     [[nodiscard]] bool exceeds_service_bound(const base::client_account_id& account) const;
+    /// Shares of the requests to admit; null if all are admitted. Accounts that request more than a common
+    /// level are held to it. `engine_load` is the load of the engines, one where they have no room.
+    [[nodiscard]] admission_table_ptr admission(double engine_load, base::time_point now) const;
     /// Requested cost divided by served cost; above one the engines are overloaded.
     [[nodiscard]] double pressure() const { return pressure_; }
     /// Returns true if the capacity does not suffice for what all accounts request.
@@ -106,6 +116,14 @@
     struct rate {
         double served = 0;
         double requested = 0;
+        /// At this router, multiplied by `recent_weight`; at peers by `weight`, since they would decay
+        /// between two reports otherwise.
+        double recently_requested = 0;
+    };
+    /// Recently requested costs at this router at one time, without weight.
+    struct recent_requests {
+        base::time_point at;
+        std::map<base::client_account_id, double> requested;
     };
     using rates = std::map<base::client_account_id, rate>;
     struct peer_report {
@@ -114,6 +132,16 @@
     };
     /// Factor by which a cost counted at `now` outweighs one counted at `origin_`.
     [[nodiscard]] double weight(base::time_point now) const;
+    /// The same for recently requested costs.
+    [[nodiscard]] double recent_weight(base::time_point now) const;
+    /// Recently requested cost of the account at this router.
+    [[nodiscard]] double own_recent_requests(const base::client_account_id& account,
+                                             base::time_point now) const;
+    /// Records what is requested at this router, for `growth`.
+    void record_history(base::time_point now);
+    /// Factor by which the requests of an account have grown at this router since its peers made the reports
+    /// in the sums; at least one.
+    [[nodiscard]] double growth(const base::client_account_id& account, base::time_point now) const;
     void rebase(base::time_point now);
     void subtract_from_fleet(const rates& accounts);
     /// Accounts that request at least their fair share and are below `min_service_ratio` since
@@ -123,8 +151,10 @@
 
     std::optional<base::time_point> origin_;
     rates own_;
+    /// Covers the age of the reports in the sums, oldest first.
+    std::deque<recent_requests> history_;
     std::map<base::vm_id, peer_report> peers_;
-    /// Sums over this router and its peers.
+    /// Sums over this router and its peers; of recently requested costs over the peers alone.
     rates fleet_;
     double stated_throughput_ = 0;
     double fair_level_ = 0;
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -19,6 +19,8 @@
     bool ready = false;
     bool draining = false;
     bool drained = false;
+    /// Shares of the requests to engines that the relay admits; null if it admits all.
+    admission_table_ptr admission;
     /// Until when callers may take the rest of their answers; empty unless the router was asked to stop.
     std::optional<base::time_point> deliver_until;
 };
--- a/src/edge/answer.cpp
+++ b/src/edge/answer.cpp
@@ -36,6 +36,7 @@
     case error_code::poison_request:
         return 422;
     case error_code::queue_full:
+    case error_code::over_fair_share:
         return 429;
     case error_code::upstream_refused_connection:
     case error_code::upstream_closed_connection:
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -20,7 +20,7 @@
 using input_archive = cereal::PortableBinaryInputArchive;
 
 constexpr std::uint16_t magic = 0xb1de;
-constexpr std::uint8_t format_version = 1;
+constexpr std::uint8_t format_version = 2;
 constexpr std::size_t max_name_bytes = 128;
 constexpr std::size_t max_address_bytes = 45; // longest text form of an IPv6 address
 /// Stands in place of the length of an address and means that the four bytes of an IPv4 address follow.
@@ -635,6 +635,7 @@
         write(out, work.account);
         write(out, work.served);
         write(out, work.requested);
+        write(out, work.recently_requested);
     });
     write(out, body.aggregated);
     write(out, body.acknowledged_sequence);
@@ -650,6 +651,7 @@
         read(in, work.account);
         read(in, work.served);
         read(in, work.requested);
+        read(in, work.recently_requested);
     });
     read(in, body.aggregated);
     read(in, body.acknowledged_sequence);
--- a/src/relay/admission.cpp
+++ b/src/relay/admission.cpp
@@ -7,11 +7,28 @@
 
 /// Largest minimum retry delay stated to callers whose requests are refused because the router is behind.
 constexpr base::duration max_overload_retry_delay = std::chrono::milliseconds(500);
+/// Bounds the excess of an account that is computed from its share.
+constexpr double min_share = 0.01;
+/// Retry delay stated to callers of an account that requests twice what it gets; grows with its excess up to
+/// the maximum, since fewer of those that return are admitted.
+constexpr base::duration share_retry_unit = std::chrono::milliseconds(200);
+constexpr base::duration max_share_retry_delay = std::chrono::seconds(2);
 
 } // namespace
 
-std::optional<refusal> admission::refuse(bool cheap) {
-    if (!saturation_.refuses(cheap)) {
+base::duration admission::share_retry_delay(double share) {
+    const double excess = 1 / std::max(share, min_share) - 1;
+    const base::duration delay = std::min(
+        std::chrono::duration_cast<base::duration>(share_retry_unit * excess), max_share_retry_delay);
+    std::uniform_int_distribution<base::duration::rep> jitter(0, delay.count());
+    return delay + base::duration(jitter(random_));
+}
+
+std::optional<refusal> admission::refuse(bool cheap, double share) {
+    if (share < 1 && std::uniform_real_distribution<double>(0, 1)(random_) >= share) {
+        return refusal{base::error_code::over_fair_share, share_retry_delay(share)};
+    }
+    if (!saturation_.refuses(cheap || share < 1)) {
         return std::nullopt;
     }
     // Reading a request takes processor time also if it is refused: callers that return at once keep the
--- a/src/relay/admission.h
+++ b/src/relay/admission.h
@@ -25,11 +25,14 @@
 
     /// Records the result of a wait of the event loop, as `saturation::update`.
     void update(bool behind, base::time_point now) { saturation_.update(behind, now); }
-    /// Decides on a request that was read. `cheap` is true for requests that cost little.
-    [[nodiscard]] std::optional<refusal> refuse(bool cheap);
+    /// Decides on a request that was read. `cheap` is true for requests that cost little; `share` is the
+    /// share of its account's requests that are admitted, one for such requests.
+    [[nodiscard]] std::optional<refusal> refuse(bool cheap, double share);
     [[nodiscard]] const saturation& load() const { return saturation_; }
 
 private:
+    [[nodiscard]] base::duration share_retry_delay(double share);
+
     saturation saturation_;
     std::mt19937_64 random_;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -182,7 +182,8 @@
         return refuse(connection, *info, 503, stop_cause(), stop_retry_delay);
     }
     const bool costly = needs_engine(info->host, head.target);
-    if (const std::optional<refusal> refused = admission_.refuse(!costly)) {
+    if (const std::optional<refusal> refused =
+            admission_.refuse(!costly, costly ? admitted_share(*info) : 1)) {
         if (costly) {
             count_refused(*info);
         }
@@ -215,6 +216,11 @@
     push_event(std::move(event));
 }
 
+double relay::admitted_share(const request_info& request) const {
+    const std::shared_ptr<const dispatch::router_state> router = state_.current();
+    return router && router->admission ? router->admission->share(account_of(request.api_key)) : 1;
+}
+
 void relay::count_refused(const request_info& request) {
     const base::client_account_id account = account_of(request.api_key);
     if (!account.value().empty()) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -153,6 +153,8 @@
     /// Returns true if the route of the request is a streaming one, which a model engine serves.
     [[nodiscard]] bool needs_engine(const std::string& host, const std::string& target) const;
     void update_saturation();
+    /// Share of the requests of its account that are admitted.
+    [[nodiscard]] double admitted_share(const request_info& request) const;
     /// Counts a refused model request for the fair shares.
     void count_refused(const request_info& request);
     /// Reports the counted requests to the dispatcher at most every `refusal_report_interval`.
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -330,6 +330,48 @@
     CHECK_FALSE(share.exceeds_service_bound(starved));
 }
 
+TEST_CASE(
+    "a flooding account is held to the level at which it leaves room for an account that asks for less") {
+    const base::time_point now(std::chrono::hours(1));
+    const base::client_account_id flooding("flooding");
+    const base::client_account_id small("small");
+    fair_share share;
+    share.receive_report(base::vm_id("r2"),
+                         {{flooding, base::cost(800), base::cost(4000), base::cost(4000)},
+                          {small, base::cost(200), base::cost(300), base::cost(300)}},
+                         now);
+    share.update(now);
+    const admission_table_ptr full = share.admission(1, now);
+    REQUIRE(full);
+    CHECK(full->share(small) == 1);
+    CHECK(full->share(flooding) * 4000 >= 1000 - 300);
+    CHECK(full->share(flooding) * 4000 < 1000);
+    // Engines with room are to be filled.
+    CHECK_FALSE(share.admission(0.4, now));
+}
+
+TEST_CASE("a flood is held back where it arrives before the other routers have reported it") {
+    base::time_point now(std::chrono::hours(1));
+    const base::client_account_id flooding("flooding");
+    const decision::account_work usual{flooding, base::cost(100000), base::cost(100000), base::cost(100000)};
+    const decision::account_work other{base::client_account_id("other"), base::cost(500000),
+                                       base::cost(500000), base::cost(500000)};
+    fair_share share;
+    const auto admitted = [&](double requested) {
+        for (int i = 0; i < 8; ++i) {
+            now += milliseconds(50);
+            share.record_request(flooding, base::cost(requested), now);
+            share.receive_report(base::vm_id("r2"), {usual, other}, now);
+            share.update(now);
+        }
+        const admission_table_ptr table = share.admission(1, now);
+        return table ? table->share(flooding) : 1;
+    };
+    CHECK(admitted(200) == 1);
+    // Twice the share that is due if the other router's requests have grown by the same factor.
+    CHECK(admitted(4000) < 0.6);
+}
+
 TEST_CASE("a request that no upstream has run does not count as service of its account") {
     dispatcher_fixture router;
     const session_id text = router.request("/text/1", "key-a");
--- a/tests/fairness_test.cpp
+++ b/tests/fairness_test.cpp
@@ -395,7 +395,9 @@
             current(account.id).held_up = true;
             return;
         }
-        if (const std::optional<relay::refusal> refusal = reader.admission.refuse(false)) {
+        const admission_table_ptr& admitted = routers_[router]->admission();
+        const double share = admitted ? admitted->share(account.id) : 1;
+        if (const std::optional<relay::refusal> refusal = reader.admission.refuse(false, share)) {
             reader.refused[account.id] += base::cost(cost_of(kind));
             return refuse(request, refusal->retry_after);
         }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -2,6 +2,7 @@
 #include "base/supervisor.h"
 #include "dispatch/worker.h"
 #include "platform/dialect.h"
+#include "relay/admission.h"
 #include "relay/relay.h"
 #include "relay/splitter.h"
 #include "wire.h"
@@ -214,6 +215,46 @@
     CHECK_FALSE(state.overloaded(at(caught_up + saturation::recovery_time)));
 }
 
+TEST_CASE(
+    "the relay admits an account's share of its requests, and states a longer delay the smaller it is") {
+    relay::admission gate(1);
+    const auto refusals = [&](double share) {
+        int count = 0;
+        base::duration total{};
+        for (int i = 0; i < 4000; ++i) {
+            if (const std::optional<relay::refusal> refused = gate.refuse(false, share)) {
+                CHECK(refused->cause == base::error_code::over_fair_share);
+                total += refused->retry_after;
+                ++count;
+            }
+        }
+        return std::make_pair(count / 4000.0, count == 0 ? base::duration::zero() : total / count);
+    };
+    CHECK(refusals(1).first == 0);
+    const auto [half, short_delay] = refusals(0.5);
+    const auto [most, long_delay] = refusals(0.1);
+    CHECK(half == Approx(0.5).margin(0.04));
+    CHECK(most == Approx(0.9).margin(0.04));
+    CHECK(short_delay < long_delay);
+    CHECK(refusals(0).first == 1);
+}
+
+TEST_CASE("callers that are refused because the router is behind return after one to two times the lag") {
+    const base::time_point start(std::chrono::hours(1));
+    relay::admission gate(1);
+    gate.update(true, start);
+    for (const milliseconds lag : {milliseconds(200), milliseconds(400), milliseconds(5000)}) {
+        gate.update(true, start + lag);
+        const base::duration least = std::min<base::duration>(lag, milliseconds(500));
+        for (int i = 0; i < 50; ++i) {
+            const std::optional<relay::refusal> refused = gate.refuse(false, 1);
+            REQUIRE(refused);
+            CHECK(refused->retry_after >= least);
+            CHECK(refused->retry_after <= 2 * least);
+        }
+    }
+}
+
 TEST_CASE("a request is forwarded without reserved and hop-by-hop fields, and its answer is returned") {
     router_fixture router;
     wire caller = router.connect_caller();
