--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -20,7 +20,7 @@
 using input_archive = cereal::PortableBinaryInputArchive;
 
 constexpr std::uint16_t magic = 0xb1de;
-constexpr std::uint8_t format_version = 2;
+constexpr std::uint8_t format_version = 1;
 constexpr std::size_t max_name_bytes = 128;
 constexpr std::size_t max_address_bytes = 45; // longest text form of an IPv6 address
 /// Stands in place of the length of an address and means that the four bytes of an IPv4 address follow.
--- a/tools/fairness.py
+++ b/tools/fairness.py
@@ -4,8 +4,8 @@
 Usage: fairness.py PLAY_OUTPUT, the output of a play with the logs of all routers. The share of an account is what began
 to run for it over the lesser of what it requested and what the best served account got, second by second, in spans of six
 seconds in each of which a request of the account was refused or late. Three of the largest requests count as served.
-Requests that a relay refused have no cost in the log, and only some of them are logged, so that the share of an account
-behind routers that are overloaded is an upper bound.
+Requests that a relay refused have no cost in the log, and each router logs only some of the lines of an event, so that the
+share of an account whose callers meet few routers can be off in either direction.
 """
 import collections
 import json
