Test the recently requested cost of work reports in the round trip of messages

The round trip left the new number of the account entries at zero, so that a codec which dropped it would have passed, and the compiler warned of the missing initialisers. The value is 11 now; three entries of other tests state theirs as empty.

--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -76,7 +76,7 @@
             decision::settle_ack{key, attempt},
             decision::crash_report{base::fingerprint(~0ULL), upstream},
             decision::work_report{{{upstream, 3, 12000, 40000, 90000, {0x5c1e07a2, ~0ULL}}},
-                                  {{account, base::cost(7), base::cost(9)}},
+                                  {{account, base::cost(7), base::cost(9), base::cost(11)}},
                                   true,
                                   41,
                                   90210},
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -258,7 +258,7 @@
     share.record_service(small, base::cost(100), now);
     share.record_request(large, base::cost(2000), now);
     share.record_service(large, base::cost(800), now);
-    share.receive_report(base::vm_id("r2"), {{other, base::cost(200), base::cost(1000)}}, now);
+    share.receive_report(base::vm_id("r2"), {{other, base::cost(200), base::cost(1000), {}}}, now);
     share.update(now);
     CHECK(share.pressure() > 1);
     // The capacity is 1,100: 100 for the small account and 500 for each of the others.
@@ -389,7 +389,7 @@
 
 TEST_CASE("the age of the sums is that of the oldest report in them, and there is none without a report") {
     const base::time_point now(std::chrono::hours(1));
-    const decision::account_work work{base::client_account_id("a"), base::cost(100), base::cost(100)};
+    const decision::account_work work{base::client_account_id("a"), base::cost(100), base::cost(100), {}};
     fair_share share;
     share.record_service(work.account, work.served, now);
     CHECK_FALSE(share.oldest_report_age(now));
@@ -432,8 +432,8 @@
 TEST_CASE("reports of a silent router are dropped") {
     const base::time_point now(std::chrono::hours(1));
     fair_share share;
-    share.receive_report(base::vm_id("r2"), {{base::client_account_id("a"), base::cost(1), base::cost(1000)}},
-                         now);
+    share.receive_report(base::vm_id("r2"),
+                         {{base::client_account_id("a"), base::cost(1), base::cost(1000), {}}}, now);
     share.update(now + fair_share::report_timeout + milliseconds(1));
     CHECK(share.pressure() == 1);
 }
