End the soak when its schedule fails, and crash an upstream once at a time

Cause: an upstream that left at the end of its time was crashed while another crash of it was under way. Both then started it, the second one failed with "address already in use", and the schedule ended with that error. The clients were cancelled, but asyncio.wait_for of Python 3.11 returns a result that is there instead of the cancellation, so that a client went on for ever and the error was never printed. Shown apart: the two faults on one upstream give the error each time; a schedule that fails by force hung in the first play.

Ruled out: the routers; the dump of the hung play shows clients alone, which connect to proxies that are closed.

Change: an upstream that is down isn't crashed again; clients end when the play does, also if it fails. The schedule draws from a generator of its own: it shared one with the clients, so that a seed gave other faults in each play.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -193,6 +193,8 @@
             "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": self.born})
 
     async def crash(self, down_s):
+        if not self.server.is_serving():  # down already, and started again by the crash under way
+            return
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
@@ -337,6 +339,7 @@
     def __init__(self, bin_folder, folder, seed, seconds):
         self.bin, self.folder, self.seconds = bin_folder, folder, seconds
         self.random = random.Random(seed)
+        self.schedule_random = random.Random(seed)  # apart from the clients, so that a seed repeats its schedule
         self.runs = collections.defaultdict(list)
         self.failures, self.faults, self.router_faults, self.cuts, self.answers = [], [], [], [], collections.Counter()
         self.promised, self.unrepeatable = set(), set()
@@ -379,6 +382,7 @@
             self.running = False
             await asyncio.gather(*clients)
         finally:
+            self.running = False  # a client that has just been answered may miss its cancellation
             for router in self.routers:
                 if router.process and router.process.returncode is None:
                     router.process.kill()
@@ -414,17 +418,18 @@
         end = time.monotonic() + self.seconds
         tasks, version = [], 1
         while time.monotonic() < end:
-            kind = self.random.choice(["term", "kill", "freeze", "hup", "link", "reset", "upstream_link", "crash", "fault",
-                                       "leave", "pause", "limit", "store", "store_silent", "config", "calm"])
+            kind = self.schedule_random.choice(["term", "kill", "freeze", "hup", "link", "reset", "upstream_link", "crash",
+                                                "fault", "leave", "pause", "limit", "store", "store_silent", "config",
+                                                "calm"])
             version += 1
             tasks.append(asyncio.create_task(self.inject(kind, version)))
-            await asyncio.sleep(self.random.uniform(0.3, 1.2))
+            await asyncio.sleep(self.schedule_random.uniform(0.3, 1.2))
         await asyncio.gather(*tasks)
         await asyncio.sleep(1)
 
     async def inject(self, kind, version):
-        router, upstream = self.random.choice(self.routers), self.random.choice(self.upstreams)
-        time_s = self.random.uniform(0.5, 3)
+        router, upstream = self.schedule_random.choice(self.routers), self.schedule_random.choice(self.upstreams)
+        time_s = self.schedule_random.uniform(0.5, 3)
         start = time.monotonic()
         if kind == "hup":
             return router.signal(signal.SIGHUP)
@@ -461,7 +466,7 @@
             upstream.pausing = False
         elif kind == "limit":
             upstream.told_limit, upstream.arrivals, upstream.limited_since = {}, [], start
-            upstream.limit = self.random.choice([3, 8.5, 20])
+            upstream.limit = self.schedule_random.choice([3, 8.5, 20])
             await asyncio.sleep(time_s + 6)
             upstream.limit = None
         elif kind == "leave":
@@ -473,11 +478,10 @@
                 await upstream.crash(1)
             self.faults.append((started, time.monotonic()))
         elif kind == "crash":
-            if upstream.server.is_serving():
-                await upstream.crash(time_s)
+            await upstream.crash(time_s)
             self.faults.append((start, time.monotonic()))
         elif kind == "fault":
-            upstream.fault = self.random.choice(["lost", "head", "error", "short", "extra", "repeat"])
+            upstream.fault = self.schedule_random.choice(["lost", "head", "error", "short", "extra", "repeat"])
             await asyncio.sleep(time_s)
             upstream.fault = None
             self.faults.append((start, time.monotonic()))
@@ -486,11 +490,11 @@
             await asyncio.sleep(time_s)
             self.store.mode = "up"
         else:
-            proxy = self.random.choice(self.proxies) if kind == "upstream_link" else router.proxy
+            proxy = self.schedule_random.choice(self.proxies) if kind == "upstream_link" else router.proxy
             if kind == "reset":
                 proxy.reset_all()
             else:
-                proxy.mode = self.random.choice(["slow", "silent", "one_way", "reset"])
+                proxy.mode = self.schedule_random.choice(["slow", "silent", "one_way", "reset"])
                 await asyncio.sleep(time_s)
                 proxy.mode = "pass"
                 proxy.reset_all()  # what a silent link held back is lost
