Log the admitted share of the account with each refusal of the relay

A refusal by share named its cause, but not the share that decided it, which had to be worked out from the levels of another line and another second.

Change: `admitted_share` in `relay.refused`. `relay::admission::load` returns the saturation of the event loop and is called `loop_saturation` now.

--- a/src/relay/admission.h
+++ b/src/relay/admission.h
@@ -28,7 +28,7 @@
     /// Decides on a request that was read. `cheap` is true for requests that cost little; `share` is the
     /// share of its account's requests that are admitted, one for such requests.
     [[nodiscard]] std::optional<refusal> refuse(bool cheap, double share);
-    [[nodiscard]] const saturation& load() const { return saturation_; }
+    [[nodiscard]] const saturation& loop_saturation() const { return saturation_; }
 
 private:
     [[nodiscard]] base::duration share_retry_delay(double share);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -130,7 +130,7 @@
 void relay::update_saturation() {
     const base::time_point now = clock_.now();
     admission_.update(poller_.more_ready(), now);
-    const bool overloaded = admission_.load().overloaded(now);
+    const bool overloaded = admission_.loop_saturation().overloaded(now);
     if (overloaded != overloaded_.exchange(overloaded)) {
         base::log_event(base::log_level::warning, name(), overloaded ? "overloaded" : "overload_over",
                         {{"requests", exchanges_.size()}});
@@ -272,6 +272,7 @@
                    std::optional<base::duration> retry_after) {
     std::vector<http::field> fields = dialect_.refusal_fields(request.caller_request_id, retry_after);
     metrics_.add({"bluebell_requests_total", {{"outcome", std::string(base::to_string(cause))}}});
+    const base::duration lag = admission_.loop_saturation().lag();
     base::log_event(base::log_level::info, name(), "refused",
                     {{"request", request.caller_request_id},
                      {"status", status},
@@ -279,7 +280,8 @@
                      {"account", account_of(request.api_key).value()},
                      {"retry_after_ms",
                       retry_after ? std::chrono::duration<double, std::milli>(*retry_after).count() : -1},
-                     {"lag_ms", std::chrono::duration<double, std::milli>(admission_.load().lag()).count()},
+                     {"admitted_share", admitted_share(request)},
+                     {"lag_ms", std::chrono::duration<double, std::milli>(lag).count()},
                      {"body_bytes", body_bytes_}});
     connection.answer(status, fields, base::to_string(cause));
 }
