Keep room at the edge of bluebelld for accounts beside one that floods

Callers of any account got 429 `queue_full` at a router of `bluebelld` while one account held all of its 200 places for requests in progress: 64 that wait for each pool, and those that run.

The queues are bounded by account, the places before them were not.

Change: `edge::admission` grants the places by dynamic thresholds: an account may hold at most four times as many as are free, so that n accounts that flood leave one in 4n + 1 free. The unused `callers::in_progress` goes.

Measured: the test "an account whose requests are held up leaves room at the edge for another account" fails on the code before (the fifth request of the first account takes the last of five places) and passes; edge_test passes.

--- a/src/edge/callers.h
+++ b/src/edge/callers.h
@@ -4,6 +4,7 @@
 #include "base/ring.h"
 #include "base/worker.h"
 #include "decision/event.h"
+#include "edge/admission.h"
 #include "edge/directory.h"
 #include "edge/host.h"
 #include "edge/source.h"
@@ -18,7 +19,7 @@
 struct callers_options {
     decision::endpoint address;
     /// Requests that may wait or run at the same time; each holds one thread. Further ones are refused at
-    /// once.
+    /// once, and those of an account that holds most of them before.
     unsigned admission_limit = 256;
     base::byte_count body_limit{1024UL * 1024UL};
     /// Maximum size of an answer that is not streamed. The ring to the thread of a request holds 8 MB.
@@ -42,7 +43,7 @@
     base::ring<decision::event>& events;
     const base::clock& clock;
     base::metrics& metrics;
-    std::atomic<unsigned>& in_progress;
+    admission& room;
     /// Time from which requests in progress are given up; `time_point::max()` unless the worker is stopping.
     std::atomic<base::time_point>& give_up_time;
 };
@@ -53,8 +54,8 @@
 ///
 /// A closed ring of events means that the decider is gone: requests in progress then end with `not_run` if
 /// they were never sent, and otherwise with `outcome_unknown`. `interrupt` lets requests in progress finish
-/// for `stop_limit` and refuses new ones. Thread safety: `run` on the thread of the worker; `interrupt` and
-/// `in_progress` from any thread.
+/// for `stop_limit` and refuses new ones. Thread safety: `run` on the thread of the worker; `interrupt` from
+/// any thread.
 class callers final : public base::worker {
 public:
     /// Pre-condition: the references outlive the worker.
@@ -66,14 +67,11 @@
     void run(base::stop_signal& stop) override;
     void interrupt() override;
 
-    /// Returns the number of requests in progress.
-    [[nodiscard]] unsigned in_progress() const { return in_progress_; }
-
 private:
     const callers_options options_;
     base::ring<decision::event>& events_;
     const base::clock& clock_;
-    std::atomic<unsigned> in_progress_{0};
+    admission room_;
     std::atomic<base::time_point> give_up_time_{base::time_point::max()};
     const callers_context context_;
     host_runner host_;
--- a/src/edge/responder.cpp
+++ b/src/edge/responder.cpp
@@ -118,14 +118,13 @@
 
 void caller_responder::reply(std::ostream& out, cxxtools::http::Request& request,
                              cxxtools::http::Reply& reply) {
-    const unsigned earlier_requests = context_.in_progress.fetch_add(1);
-    const base::scope_guard decrement([this] { --context_.in_progress; });
     base::result<parsed_request> parsed = check(request);
     const base::request_id id = context_.ids.next();
     if (parsed && context_.give_up_time.load() != base::time_point::max()) {
         parsed = base::failure(error_code::draining, "", "the router is stopping");
-    } else if (parsed && earlier_requests >= context_.options.admission_limit) {
-        parsed = base::failure(error_code::queue_full, "", "the router has no room for a further request");
+    } else if (parsed && !context_.room.enter(parsed->attributes.account)) {
+        parsed = base::failure(error_code::queue_full, "",
+                               "the router has no room for a further request of the client account");
     }
     if (!parsed) {
         write_error(parsed.error(), outcome::not_run, id, out, reply);
@@ -136,6 +135,8 @@
         }
         return;
     }
+    const base::scope_guard leave(
+        [this, account = parsed->attributes.account] { context_.room.leave(account); });
     parsed->attributes.id = id;
     serve(*parsed, out, reply);
 }
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -27,7 +27,9 @@
 public:
     fixed_directory() {
         std::shared_ptr<decision::fleet_config> config = std::make_shared<decision::fleet_config>();
-        config->accounts[base::client_account_id("school")].id = base::client_account_id("school");
+        for (const char* const account : {"school", "library"}) {
+            config->accounts[base::client_account_id(account)].id = base::client_account_id(account);
+        }
         config->pools[base::pool_id("text")].id = base::pool_id("text");
         decision::pool& orders = config->pools[base::pool_id("orders")];
         orders.id = base::pool_id("orders");
@@ -539,6 +541,25 @@
     CHECK(contains(answer, "\"code\":\"queue_full\""));
 }
 
+TEST_CASE("an account whose requests are held up leaves room at the edge for another account") {
+    edge::callers_options options;
+    options.admission_limit = 5;
+    edge_fixture fixture({}, options);
+    fixture.decider->hold = true;
+    std::vector<std::unique_ptr<test_caller>> waiting;
+    for (int i = 0; i < 4; ++i) {
+        waiting.push_back(std::make_unique<test_caller>(fixture.address));
+        waiting.back()->send("POST", "/v1/chat/completions", chat);
+    }
+    REQUIRE(wait_until([&] { return fixture.decider->arrived_count == 4; }));
+    waiting.push_back(std::make_unique<test_caller>(fixture.address));
+    waiting.back()->send("POST", "/v1/chat/completions", chat);
+    CHECK(contains(waiting.back()->read("queue_full"), "HTTP/1.1 429"));
+    waiting.push_back(std::make_unique<test_caller>(fixture.address));
+    waiting.back()->send("POST", "/v1/chat/completions", chat, "Client-Account: library\r\n");
+    CHECK(wait_until([&] { return fixture.decider->arrived_count == 5; }));
+}
+
 TEST_CASE("a request is refused without waiting if the ring of events is full") {
     fixed_directory directory;
     base::steady_clock time;
