Forget callers' timeouts that are no longer usual

When the usual timeout became shorter, each first attempt counted as a late one of a caller that had been trying for the difference, and got the smaller room of late work at every router until that restarted.

Change: the estimate is a class of its own, `attempt_estimate`, and halves its counts when they grow beyond a bound.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -58,10 +58,6 @@
 constexpr base::duration delivery_time = std::chrono::milliseconds(8);
 /// A retry is not started with this time or less left until the deadline.
 constexpr base::duration min_retry_time = std::chrono::milliseconds(20);
-/// Callers' timeouts at their first attempts are shorter than the usual one by up to this share of it.
-constexpr double caller_timeout_spread = 0.16;
-/// Distinct caller timeouts that are counted for a route.
-constexpr std::size_t max_caller_timeouts = 64;
 /// A connection that fails within this time after another one broke shows that the upstream crashed.
 constexpr base::duration refused_connection_time = std::chrono::seconds(2);
 /// Pause of an upstream that refuses work because it is full.
@@ -326,7 +322,9 @@
     created.account = matched->anonymous ? base::client_account_id() : catalogue_->keys.at(request.key);
     created.prompt = request.prompt;
     created.fingerprint = request.fingerprint;
-    created.earlier_attempts_time = estimate_earlier_attempts(*matched, request.caller_timeout);
+    if (request.caller_timeout) {
+        created.earlier_attempts_time = attempt_estimates_[matched->id].record(*request.caller_timeout);
+    }
     created.deadline =
         request.arrived + std::min(request.caller_timeout.value_or(matched->timeout), matched->timeout);
     created.needs_engine = catalogue_->engine(created.pool) != nullptr;
@@ -378,26 +376,6 @@
     }
 }
 
-/// Estimates how long the caller has been trying: a caller that retries has less time left than callers
-/// usually have at a first attempt on the same route.
-base::duration dispatcher::estimate_earlier_attempts(const route& matched,
-                                                     const std::optional<base::duration>& caller_timeout) {
-    if (!caller_timeout) {
-        return base::duration::zero();
-    }
-    std::map<std::int64_t, std::uint32_t>& counts = caller_timeout_counts_[matched.id];
-    const std::int64_t value = caller_timeout->count();
-    if (counts.size() < max_caller_timeouts || counts.count(value) != 0) {
-        ++counts[value];
-    }
-    const auto usual = std::max_element(counts.begin(), counts.end(),
-                                        [](const auto& a, const auto& b) { return a.second < b.second; });
-    const base::duration missing = base::duration(usual->first) - *caller_timeout;
-    const bool tried_before =
-        usual->second > 1 && missing > scaled(base::duration(usual->first), caller_timeout_spread);
-    return tried_before ? missing : base::duration::zero();
-}
-
 const base::pool_id& dispatcher::pick_pool(const route& matched) {
     double total = 0;
     for (const weighted_pool& candidate : matched.pools) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "decision/member.h"
 #include "decision/retry.h"
 #include "dispatch/admission.h"
+#include "dispatch/attempts.h"
 #include "dispatch/attribution.h"
 #include "dispatch/delegation.h"
 #include "dispatch/drain.h"
@@ -161,8 +162,6 @@
     void answer_open_requests();
     [[nodiscard]] std::optional<base::error_code> check_access(const request_read& request,
                                                                const route& matched) const;
-    base::duration estimate_earlier_attempts(const route& matched,
-                                             const std::optional<base::duration>& caller_timeout);
     const base::pool_id& pick_pool(const route& matched);
     bool try_place(session& request);
     /// What keeps a request, for which `options` has no choice that `admit` accepts, from being placed.
@@ -255,9 +254,7 @@
     std::unordered_map<session_id, session> sessions_;
     std::set<std::pair<base::time_point, session_id>> deadlines_;
     std::map<base::pool_id, std::vector<session_id>> queues_;
-    /// How often each caller timeout, in ns, was seen on a route. The most frequent one belongs to first
-    /// attempts.
-    std::map<route_id, std::map<std::int64_t, std::uint32_t>> caller_timeout_counts_;
+    std::map<route_id, attempt_estimate> attempt_estimates_;
     std::deque<broken_connection> broken_connections_;
     std::set<base::vm_id> known_routers_;
     /// The relay has started and accepts connections of callers.
