Keep repeats of requests that no upstream has run within the limits of their account

Cause: `dispatcher::retry` looked for an engine with the whole capacity and none of the limits on accounts: no service bound, no throttle of accounts ahead of their share, no limit on the delay. An engine that has crashed looks empty, so a request of an account ahead of its share passes the throttle there, finds no connection, and its repeat takes the last slots of a live engine. The more routers an account's callers meet, the more of these an account gets.

Change: a request for an engine that no upstream has run is placed like a new one, or waits as long as one; what was counted for it is taken back meanwhile. It waited before for nothing: with all engines full it was refused at once.

Tests "an account ahead of its share gets no further room by repeats of requests that no upstream has run" and "a request whose engine cannot be reached waits for a slot of another one" fail on the code before and pass.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -709,6 +709,9 @@
         now_ + min_retry_time >= request.deadline || !fits_into_stop(request) || blocked(request)) {
         return false;
     }
+    if (request.needs_engine && !request.may_have_run) {
+        return place_again(request, !unsent);
+    }
     placement_request placement_needs;
     placement_needs.pool = request.pool;
     placement_needs.prompt = &request.prompt;
@@ -726,6 +729,24 @@
     return true;
 }
 
+/// Places a request that no upstream has run under the same limits as a new one, or lets it wait. Otherwise
+/// accounts ahead of their share would fill the engines with repeats while others crash.
+bool dispatcher::place_again(session& request, bool counts_as_retry) {
+    withdraw_service(request);
+    if (counts_as_retry && !retry_budget_.try_take(request.pool, now_)) {
+        return false;
+    }
+    if (try_place(request)) {
+        return true;
+    }
+    const bool may_wait =
+        request.limit != placement_limit::none && now_ - request.arrived < max_queue_time(request);
+    if (may_wait) {
+        enqueue(request);
+    }
+    return may_wait;
+}
+
 void dispatcher::end_session(session& request, int status, error_code cause,
                              std::optional<base::duration> retry_after) {
     const std::string counter = "ended/" + std::string(base::to_string(cause));
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -180,6 +180,7 @@
     [[nodiscard]] base::duration max_queue_time(const session& request) const;
     [[nodiscard]] base::duration retry_delay(const session& request);
     bool retry(session& request, const attempt_finished& attempt);
+    bool place_again(session& request, bool counts_as_retry);
     void end_session(session& request, int status, base::error_code cause,
                      std::optional<base::duration> retry_after = std::nullopt);
     void remove_session(session_id id);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1276,6 +1276,54 @@
     CHECK(served["key-b"] >= std::min(asked, served["key-a"]) / 2);
 }
 
+TEST_CASE(
+    "an account ahead of its share gets no further room by repeats of requests that no upstream has run") {
+    const attempt_outcome outcome = GENERATE(attempt_outcome::unsent, attempt_outcome::refused);
+    dispatcher_fixture router;
+    const auto refuse_other_account = [&](int times) {
+        for (int i = 0; i < times; ++i) {
+            router.advance(milliseconds(50));
+            router.handle(catalogue_read{nullptr, router.now()});
+            router.handle(requests_refused{{{base::client_account_id("b"), base::cost(50000)}}});
+        }
+    };
+    for (int i = 0; i < 10; ++i) {
+        refuse_other_account(1);
+        const session_id served = router.request("/text/1", "key-a", 20000, 1);
+        router.handle(answer_started{served, 1});
+        router.finish(served, attempt_outcome::delivered);
+    }
+    const session_id repeated = router.request("/text/1", "key-a", 200, 1);
+    refuse_other_account(30);
+    router.finish(repeated, outcome, outcome == attempt_outcome::refused ? 503 : 0);
+    CHECK(router.sent(repeated)->attempt == 1);
+    REQUIRE(router.ended(repeated) != nullptr);
+    CHECK(router.ended(repeated)->status == 503);
+    CHECK(router.value("ended/upstream_refused_connection/service") == 1);
+}
+
+TEST_CASE("a request whose engine cannot be reached waits for a slot of another one") {
+    dispatcher_fixture router({make_upstream("m1", model_pool, 10), make_upstream("m2", model_pool, 10)});
+    std::vector<session_id> running;
+    session_id last = router.request("/text/1", "key-a");
+    while (router.sent(last) != nullptr) {
+        running.push_back(last);
+        last = router.request("/text/1", "key-a");
+    }
+    const session_id unreached = running.front();
+    router.finish(unreached, attempt_outcome::unsent);
+    CHECK(router.sent(unreached)->attempt == 1);
+    CHECK(router.ended(unreached) == nullptr);
+    const base::upstream_id reached = router.sent(unreached)->target.id;
+    for (const session_id id : running) {
+        if (router.sent(id)->target.id != reached) {
+            router.finish(id, attempt_outcome::delivered);
+        }
+    }
+    router.advance(milliseconds(20));
+    CHECK(router.sent(unreached)->attempt == 2);
+}
+
 TEST_CASE("an account that its routers refuse gets at least half of what a flooding account gets") {
     dispatcher_fixture router;
     std::map<std::string, double> served;
