--- /dev/null
+++ b/src/relay/admission.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "relay/saturation.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace bluebell::relay {
+
+/// A refusal of a request that no upstream has got.
+struct refusal {
+    base::error_code cause = base::error_code::queue_full;
+    /// Time after which the caller may retry.
+    base::duration retry_after{};
+};
+
+/// Decides which requests the relay refuses by itself, before the dispatcher hears of them.
+/// Thread safety: used by one thread.
+class admission {
+public:
+    explicit admission(std::uint64_t seed) : random_(seed) {}
+
+    /// Records the result of a wait of the event loop, as `saturation::update`.
+    void update(bool behind, base::time_point now) { saturation_.update(behind, now); }
+    /// Decides on a request that was read. `cheap` is true for requests that cost little.
+    [[nodiscard]] std::optional<refusal> refuse(bool cheap);
+    [[nodiscard]] const saturation& load() const { return saturation_; }
+
+private:
+    saturation saturation_;
+    std::mt19937_64 random_;
+};
+
+} // namespace bluebell::relay
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -5,6 +5,7 @@
 #include "base/log.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace bluebell::relay {
@@ -17,8 +18,6 @@
 constexpr std::size_t max_buffered_answer = std::size_t{256} << 10U;
 /// Longest event of a stream.
 constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
-/// Largest minimum retry delay stated to callers whose requests are refused because the router is behind.
-constexpr base::duration max_overload_retry_delay = std::chrono::milliseconds(500);
 /// Retry delay stated to callers whose requests are refused because the relay stops; another router can take
 /// them at once.
 constexpr base::duration stop_retry_delay = std::chrono::milliseconds(100);
@@ -39,7 +38,8 @@
              const base::snapshot<dispatch::router_state>& state, const base::clock& clock,
              base::metrics& metrics)
     : settings_(std::move(settings)), dialect_(message_dialect), commands_(commands), events_(events),
-      state_(state), clock_(clock), metrics_(metrics), loop_{poller_, timers_, clock_} {}
+      state_(state), clock_(clock), metrics_(metrics), loop_{poller_, timers_, clock_},
+      admission_(settings_.seed) {}
 
 relay::~relay() = default;
 
@@ -129,8 +129,8 @@
 
 void relay::update_saturation() {
     const base::time_point now = clock_.now();
-    saturation_.update(poller_.more_ready(), now);
-    const bool overloaded = saturation_.overloaded(now);
+    admission_.update(poller_.more_ready(), now);
+    const bool overloaded = admission_.load().overloaded(now);
     if (overloaded != overloaded_.exchange(overloaded)) {
         base::log_event(base::log_level::warning, name(), overloaded ? "overloaded" : "overload_over",
                         {{"requests", exchanges_.size()}});
@@ -182,16 +182,11 @@
         return refuse(connection, *info, 503, stop_cause(), stop_retry_delay);
     }
     const bool costly = needs_engine(info->host, head.target);
-    if (saturation_.refuses(!costly)) {
+    if (const std::optional<refusal> refused = admission_.refuse(!costly)) {
         if (costly) {
             count_refused(*info);
         }
-        // Reading a request takes processor time also if it is refused: callers that return at once keep the
-        // router behind.
-        const base::duration delay = std::min(saturation_.lag(), max_overload_retry_delay);
-        std::uniform_int_distribution<base::duration::rep> jitter(0, delay.count());
-        return refuse(connection, *info, 503, base::error_code::queue_full,
-                      delay + base::duration(jitter(random_)));
+        return refuse(connection, *info, 503, refused->cause, refused->retry_after);
     }
     if (body_bytes_ + body.size() > settings_.max_body_bytes) {
         return refuse(connection, *info, 503, base::error_code::queue_full);
@@ -278,7 +273,7 @@
                      {"account", account_of(request.api_key).value()},
                      {"retry_after_ms",
                       retry_after ? std::chrono::duration<double, std::milli>(*retry_after).count() : -1},
-                     {"lag_ms", std::chrono::duration<double, std::milli>(saturation_.lag()).count()},
+                     {"lag_ms", std::chrono::duration<double, std::milli>(admission_.load().lag()).count()},
                      {"body_bytes", body_bytes_}});
     connection.answer(status, fields, base::to_string(cause));
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,20 +6,20 @@
 #include "base/worker.h"
 #include "dispatch/event.h"
 #include "dispatch/worker.h"
+#include "relay/admission.h"
 #include "relay/caller.h"
 #include "relay/dialect.h"
 #include "relay/link.h"
 #include "relay/poller.h"
-#include "relay/saturation.h"
 #include "relay/server.h"
 #include "relay/splitter.h"
 
 #include <atomic>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,6 +35,8 @@
     /// Maximum total size of the bodies of requests in progress, in bytes; above it requests are refused.
     std::size_t max_body_bytes = std::size_t{24} << 20U;
     link_limits upstream_limits;
+    /// Seed of random decisions; differs between routers.
+    std::uint64_t seed = 1;
 };
 
 /// The data path: one thread that owns the connections of callers and the connections to upstreams. It reads
@@ -182,7 +184,7 @@
     bool was_draining_ = false;
     /// The relay has been told to stop and takes no more requests.
     bool stopping_ = false;
-    saturation saturation_;
+    admission admission_;
     std::atomic<bool> overloaded_{false};
     /// Last report of what an upstream states about itself.
     struct reported_statement {
@@ -197,7 +199,6 @@
     base::time_point next_removal_;
     /// Removals of the poller at the last `remove_closed`.
     std::uint64_t handled_removals_ = 0;
-    std::mt19937_64 random_;
 };
 
 } // namespace bluebell::relay
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -221,6 +221,7 @@
 
 void node::add_relay() {
     relay::relay_settings relay_options;
+    relay_options.seed = system_seed();
     relay_options.listen_address = settings_.callers;
     relay_options.max_callers = static_cast<std::size_t>(settings_.descriptors - reserved_descriptors);
     relay_options.max_body_bytes = settings_.memory.value() / body_memory_divisor;
