Log callers that leave and the engine load that admission goes by

What was placed for a caller that left counts as service of its account, and no line says so; admission goes by the engine load, and only the occupancy was logged. Ruled out: the counter caller_left, which has neither account nor cost. Change: a line for each caller that leaves, with its account, cost and whether it counts as service; engine_load in worst_served_account. Measured: dispatch_test, workers_test and relay_test pass.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -372,7 +372,8 @@
                          {"stated_level_tokens", level_field(levels.stated)},
                          {"service_bound_tokens", level_field(levels.bound)},
                          {"pressure", fair_share_.pressure()},
-                         {"engine_occupancy", placement_.engine_occupancy()}});
+                         {"engine_occupancy", placement_.engine_occupancy()},
+                         {"engine_load", placement_.engine_load()}});
     }
 }
 
@@ -579,6 +580,16 @@
     const auto found = sessions_.find(departure.id);
     if (found != sessions_.end()) {
         ++counters_["caller_left"];
+        const session& request = found->second;
+        base::log_event(log_level::info, "dispatcher", "caller_left",
+                        {{"request", request.caller_request_id},
+                         {"account", request.account.value()},
+                         {"tokens", request.cost.value()},
+                         {"attempts", request.attempt},
+                         {"answered", request.answered},
+                         {"counted", request.counted_at.has_value()},
+                         {"waited_ms", to_ms(now_ - request.arrived)},
+                         {"limit", to_string(request.limit)}});
         remove_session(departure.id);
     }
 }
