Bound the answers that are read from the store

Callers would see their requests end: a server that sends a body without end (stated, chunked or until close) filled the memory of the router that had called it until the deadline of the call, which ends the process at its limit. Cause: http::client::receive appended to the body whatever arrived; only the head was bounded. Class: bytes of another process that are kept without a bound. It also took an interim answer (1xx) for the final one. Ruled out: heads and trailers (bounded by the parser; the new test covers them), answers of upstreams (relay_test has eight places), datagrams (one buffer of fixed size). Change: a body of more than 16 MiB, or one that is stated to be longer, fails the call as malformed and closes the connection; interim answers are skipped. Open: the store client of bluebelld reads with cxxtools, which has no such bound.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,6 +11,13 @@
 namespace {
 
 constexpr std::size_t read_buffer_size = 16384;
+/// Largest body of an answer. The configuration and the lists of a fleet take a few megabytes; a router has a
+/// hundred.
+constexpr std::size_t max_body_bytes = std::size_t{16} << 20U;
+
+bool interim(const response_head& head) {
+    return head.status / 100 == 1;
+}
 
 } // namespace
 
@@ -90,10 +97,22 @@
             }
             break;
         }
-        const base::result<std::size_t> consumed = parser.feed({buffer.data(), received.bytes}, answer.body);
-        if (!consumed) {
+        std::string_view unread(buffer.data(), received.bytes);
+        while (!unread.empty() && !parser.complete()) {
+            const base::result<std::size_t> consumed = parser.feed(unread, answer.body);
+            if (!consumed) {
+                return base::failure(base::error_code::store_malformed, decision::to_string(server_),
+                                     consumed.error().text);
+            }
+            unread.remove_prefix(*consumed);
+            if (parser.complete() && interim(parser.head())) {
+                parser.prepare_next(true);
+            }
+        }
+        const bool stated_too_long = parser.head_complete() && parser.head().length > max_body_bytes;
+        if (stated_too_long || answer.body.size() > max_body_bytes) {
             return base::failure(base::error_code::store_malformed, decision::to_string(server_),
-                                 consumed.error().text);
+                                 "the body exceeds the limit");
         }
     }
     answer.head = parser.head();
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -444,3 +444,56 @@
     follower.interrupt();
     runner.join();
 }
+
+TEST_CASE("an answer of the store that never ends is not kept until the deadline") {
+    constexpr std::size_t sent_bytes = std::size_t{256} << 20U;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string part(std::size_t{64} << 10U, 'x');
+    const std::string chunk = "10000\r\n" + part + "\r\n";
+    const auto [how, beginning, repeated] = GENERATE_COPY(table<std::string, std::string, std::string>(
+        {{"stated length", head + "Content-Length: 99999999999\r\n\r\n", part},
+         {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+         {"until close", head + "Connection: close\r\n\r\n", part},
+         {"field", head + "X-Field: ", part},
+         {"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Field: ", part}}));
+    INFO(how);
+    fake_server server;
+    const base::boot_clock clock;
+    http::client client({"127.0.0.1", server.port()}, clock);
+    base::result<http::response> result;
+    std::thread caller([&] { result = client.call("GET", "/api/objects/x", "", seconds(10)); });
+    {
+        wire connection = server.accept();
+        connection.read_request();
+        connection.send(beginning);
+        for (std::size_t sent = 0; sent < sent_bytes && !connection.broken(); sent += repeated.size()) {
+            connection.send(repeated);
+        }
+        CHECK(connection.broken());
+    }
+    caller.join();
+    REQUIRE_FALSE(result);
+    CHECK(result.error().code == base::error_code::store_malformed);
+}
+
+TEST_CASE("an interim answer of the store is not taken for the final one") {
+    fixture store;
+    base::result<http::response> result;
+    http::client client({"127.0.0.1", store.server.port()}, store.clock);
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const bool together = GENERATE(true, false);
+    std::thread caller([&] { result = client.call("GET", "/api/objects/x", "", seconds(3)); });
+    {
+        wire connection = store.server.accept();
+        connection.read_request();
+        connection.send(together ? interim + answer(200, "body") : interim);
+        if (!together) {
+            std::this_thread::sleep_for(milliseconds(50));
+            connection.send(answer(200, "body"));
+        }
+        caller.join();
+    }
+    REQUIRE(result);
+    CHECK(result->head.status == 200);
+    CHECK(result->body == "body");
+}
