--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,59 @@
+#include "dispatch/share.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace bluebell;
+using namespace bluebell::dispatch;
+using std::chrono::milliseconds;
+
+} // namespace
+
+TEST_CASE(
+    "a router where the callers of a flooding account arrive admits half or more of the share that others "
+    "admit") {
+    base::time_point now(std::chrono::hours(1));
+    constexpr milliseconds step(50);
+    constexpr milliseconds report_age(400);
+    const base::client_account_id flooding("flooding");
+    const base::client_account_id other("other");
+    const base::vm_id left("r-left");
+    const base::vm_id rest("r-rest");
+    fair_share before;
+    fair_share after;
+    std::deque<std::pair<base::time_point, std::vector<decision::account_work>>> reports;
+    const auto exchange = [&] {
+        reports.emplace_back(now, before.own_work(now));
+        while (now - reports.front().first >= report_age) {
+            after.receive_report(left, reports.front().second, now);
+            reports.pop_front();
+        }
+        for (fair_share* const share : {&before, &after}) {
+            share->receive_report(rest, {{other, base::cost(500000), base::cost(900000), base::cost(900000)}},
+                                  now);
+            share->update(now);
+        }
+    };
+    for (int i = 0; i < 60; ++i) {
+        now += step;
+        before.record_request(flooding, base::cost(50000), now);
+        before.record_service(flooding, base::cost(12000), now);
+        exchange();
+    }
+    const admission_table_ptr usual = before.admission(1, now);
+    REQUIRE(usual);
+    REQUIRE(usual->share(flooding) < 0.5);
+    for (int i = 0; i < 20; ++i) {
+        now += step;
+        after.record_request(flooding, base::cost(50000), now);
+        after.record_service(flooding, base::cost(12000), now);
+        exchange();
+        const admission_table_ptr table = after.admission(1, now);
+        INFO("after " << i + 1 << " steps");
+        CHECK((table ? table->share(flooding) : 1) >= usual->share(flooding) / 2);
+    }
+}
--- a/tests/fairness_test.cpp
+++ b/tests/fairness_test.cpp
@@ -79,6 +79,9 @@
     bool limited_processors = false;
     /// How often a caller tries a request.
     int max_attempts = 6;
+    /// Interval at which the routers of accounts that meet few of them go out of rotation in turn, so that
+    /// their callers arrive at other routers. None do if it is zero.
+    milliseconds rotation_interval{};
     /// Largest delay of a message between two routers.
     milliseconds max_message_delay = milliseconds(15);
     std::uint64_t seed = 1;
@@ -362,8 +365,8 @@
         const account_load& account = plan_.accounts[request.account];
         const request_kind& kind = kinds[request.kind];
         request.router =
-            account
-                .routers[std::uniform_int_distribution<std::size_t>(0, account.routers.size() - 1)(random_)];
+            router_in_rotation(account, account.routers[std::uniform_int_distribution<std::size_t>(
+                                            0, account.routers.size() - 1)(random_)]);
         request.id = session_id(++last_id_);
         request.sent_at = now_;
         ++request.attempts;
@@ -371,6 +374,16 @@
         relays_[request.router].arrived.push_back(request);
     }
 
+    /// Router that takes the place of `usual` while that is out of rotation, in the same data centre.
+    [[nodiscard]] std::size_t router_in_rotation(const account_load& account, std::size_t usual) const {
+        constexpr std::size_t most_routers = 4;
+        if (plan_.rotation_interval == milliseconds::zero() || account.routers.size() > most_routers) {
+            return usual;
+        }
+        const std::size_t interval = static_cast<std::size_t>((now_ - start_) / plan_.rotation_interval);
+        return (interval + usual) % 2 == 0 ? usual : (usual + 3) % plan_.routers;
+    }
+
     /// Reads requests while the router has processor time, and refuses as the relay does.
     void read_requests(std::size_t router) {
         simulated_relay& reader = relays_[router];
@@ -681,8 +694,40 @@
     return plan;
 }
 
+/// Accounts flood together while readiness moves the callers of those that meet few routers to other routers.
+load_plan draw_moving_plan(std::uint64_t seed) {
+    load_plan plan = draw_crash_plan(seed);
+    plan.limited_processors = false;
+    plan.crash_at = milliseconds::max();
+    plan.rotation_interval = milliseconds(3000);
+    return plan;
+}
+
+/// The same while routers have little processor time and engines crash.
+load_plan draw_moving_crash_plan(std::uint64_t seed) {
+    load_plan plan = draw_crash_plan(seed);
+    plan.rotation_interval = milliseconds(3000);
+    return plan;
+}
+
 } // namespace
 
+TEST_CASE("no backlogged account gets less than half of its due while its callers move between routers") {
+    const std::uint64_t seed = GENERATE(range(1, 7));
+    simulated_fleet fleet(draw_moving_plan(seed));
+    fleet.run(seconds(15));
+    INFO("seed " << seed << ", begun per second " << Catch::Detail::stringify(fleet.begun_per_second()));
+    CHECK(fleet.least_share(3) >= 0.5);
+}
+
+TEST_CASE("no backlogged account gets less than half of its due while its callers move and engines crash") {
+    const std::uint64_t seed = GENERATE(range(1, 7));
+    simulated_fleet fleet(draw_moving_crash_plan(seed));
+    fleet.run(seconds(15));
+    INFO("seed " << seed << ", begun per second " << Catch::Detail::stringify(fleet.begun_per_second()));
+    CHECK(fleet.least_share(3) >= 0.5);
+}
+
 TEST_CASE("no backlogged account gets less than half of its due while accounts flood together and engines "
           "crash") {
     const std::uint64_t seed = GENERATE(range(1, 7));
