Estimate what accounts request from the sums of the fleet, not from the growth at one router

What callers saw: where readiness moved the callers of a flooding account to another router, nearly all of their requests were refused for half a second and told to stay away for 2 to 4 s. Cause: admission took what peers report of an account times the growth at this router. Where callers have just arrived that factor is near infinite, and it multiplies what the router that they left still reports. Class: a value of the whole fleet extrapolated from one router. Change: what an account requests is the decayed sum of the fleet, or what the sum shows of the last 300 to 400 ms, whichever is more. All routers compute it from the same sums, so that callers which move count twice at most.

--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <memory>
 #include <utility>
@@ -21,13 +22,6 @@
 constexpr double admission_margin = 1.15;
 /// Load below which engines are not assumed to have more room.
 constexpr double min_engine_load = 0.3;
-/// Age of the reports in the sums of a large fleet: three intervals and the network.
-constexpr base::duration sums_age = std::chrono::milliseconds(400);
-/// Cost that is added before two sums of one router are compared, so that single requests of a small account
-/// do not count as growth.
-constexpr double growth_threshold_tokens = 5000;
-/// Growth below this factor is taken for the randomness of single requests.
-constexpr double min_growth = 1.5;
 /// Weight at which the origin of time is moved: e^10, reached after 20 s.
 constexpr double max_weight = 22026;
 
@@ -69,7 +63,9 @@
     fair_level_ /= factor;
     stated_level_ /= factor;
     service_bound_ /= factor;
-    fleet_.clear();
+    for (auto& [account, sums] : fleet_) {
+        static_cast<rate&>(sums) = {};
+    }
     const auto rescale = [&](rates& accounts, double factor_of_recent) {
         for (auto entry = accounts.begin(); entry != accounts.end();) {
             rate& account_rate = entry->second;
@@ -93,6 +89,10 @@
             fleet_[account].recently_requested += account_rate.recently_requested;
         }
     }
+    for (auto entry = fleet_.begin(); entry != fleet_.end();) {
+        const bool forgotten = entry->second.served <= 0 && entry->second.requested <= 0;
+        entry = forgotten ? fleet_.erase(entry) : std::next(entry);
+    }
 }
 
 void fair_share::record_request(const base::client_account_id& account, base::cost amount,
@@ -142,7 +142,7 @@
         subtract_from_fleet({{work.account, reported}});
         reported = {work.served.value() * factor, work.requested.value() * factor,
                     work.recently_requested.value() * factor};
-        rate& sum = fleet_[work.account];
+        fleet_rate& sum = fleet_[work.account];
         sum.served += reported.served;
         sum.requested += reported.requested;
         sum.recently_requested += reported.recently_requested;
@@ -222,7 +222,7 @@
     for (const base::vm_id& vm : silent) {
         drop_peer(vm);
     }
-    record_history(now);
+    sample_requests(now);
     double served = 0;
     double requested_sum = 0;
     std::vector<double> requested;
@@ -233,6 +233,8 @@
         requested.push_back(account_rate.requested);
     }
     pressure_ = served > 0 ? requested_sum / served : 1;
+    const double stated_capacity =
+        stated_throughput_ * std::chrono::duration<double>(decay_time).count() * weight(now);
     fair_level_ = std::numeric_limits<double>::infinity();
     stated_level_ = std::numeric_limits<double>::infinity();
     service_bound_ = std::numeric_limits<double>::infinity();
@@ -242,8 +244,6 @@
     }
     std::sort(requested.begin(), requested.end());
     fair_level_ = max_min_level(requested, served);
-    const double stated_capacity =
-        stated_throughput_ * std::chrono::duration<double>(decay_time).count() * weight(now);
     stated_level_ = stated_capacity > 0 ? max_min_level(requested, stated_capacity) : 0;
     const double guaranteed = guaranteed_share * (stated_capacity > 0 ? stated_level_ : fair_level_);
     // The fair level alone bounds no gap: it follows what was served, and what an account cannot use of its
@@ -256,26 +256,32 @@
     return own == own_.end() ? 0 : own->second.recently_requested / recent_weight(now);
 }
 
-void fair_share::record_history(base::time_point now) {
-    recent_requests current{now, {}};
-    for (const auto& [account, account_rate] : own_) {
-        current.requested[account] = own_recent_requests(account, now);
+double fair_share::fleet_recent_requests(const base::client_account_id& account, const rate& sums,
+                                         base::time_point now) const {
+    return own_recent_requests(account, now) + sums.recently_requested / weight(now);
+}
+
+void fair_share::sample_requests(base::time_point now) {
+    const std::size_t newest = (oldest_sample_ + demand_samples - 1) % demand_samples;
+    if (sampled_at_[newest] && now - *sampled_at_[newest] < demand_sample_interval) {
+        return;
     }
-    history_.push_back(std::move(current));
-    while (history_.size() > 1 && now - history_[1].at >= sums_age) {
-        history_.pop_front();
+    for (auto& [account, sums] : fleet_) {
+        sums.earlier_requested[oldest_sample_] = fleet_recent_requests(account, sums, now);
     }
+    sampled_at_[oldest_sample_] = now;
+    oldest_sample_ = (oldest_sample_ + 1) % demand_samples;
 }
 
-double fair_share::growth(const base::client_account_id& account, base::time_point now) const {
-    if (history_.empty()) {
-        return 1;
+double fair_share::demand(const base::client_account_id& account, const fleet_rate& sums,
+                          base::time_point now) const {
+    const double recent = fleet_recent_requests(account, sums, now);
+    const std::optional<base::time_point> sampled_at = sampled_at_[oldest_sample_];
+    if (!sampled_at) {
+        return recent;
     }
-    const auto earlier = history_.front().requested.find(account);
-    const double before = earlier == history_.front().requested.end() ? 0 : earlier->second;
-    const double ratio =
-        (own_recent_requests(account, now) + growth_threshold_tokens) / (before + growth_threshold_tokens);
-    return ratio >= min_growth ? ratio : 1;
+    const double decay = std::exp(-std::chrono::duration<double>(now - *sampled_at) / recent_decay_time);
+    return std::max(recent, (recent - sums.earlier_requested[oldest_sample_] * decay) / (1 - decay));
 }
 
 admission_table_ptr fair_share::admission(double engine_load, base::time_point now) const {
@@ -285,8 +291,7 @@
     std::vector<double> sorted;
     for (const auto& [account, account_rate] : fleet_) {
         served += account_rate.served / factor;
-        const double amount = own_recent_requests(account, now) +
-                              account_rate.recently_requested / factor * growth(account, now);
+        const double amount = demand(account, account_rate, now);
         requested[account] = amount;
         sorted.push_back(amount);
     }
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -6,7 +6,8 @@
 #include "decision/message.h"
 #include "dispatch/admission.h"
 
-#include <deque>
+#include <array>
+#include <cstddef>
 #include <limits>
 #include <map>
 #include <optional>
@@ -51,6 +52,10 @@
     /// Time constant of the requested costs that admission depends on. Shorter, since admission has to follow
     /// a flood before it has filled the engines.
     static constexpr base::duration recent_decay_time = std::chrono::milliseconds(500);
+    /// Samples of what accounts request, and the time between two. Their span is about the age of the reports
+    /// of a large fleet: callers that move to another router count at both for that long.
+    static constexpr std::size_t demand_samples = 4;
+    static constexpr base::duration demand_sample_interval = std::chrono::milliseconds(100);
     /// The report of a peer that has been silent for longer than this is dropped.
     static constexpr base::duration report_timeout = std::chrono::seconds(2);
 
@@ -79,7 +84,6 @@
     void drop_peer(const base::vm_id& peer);
     /// Requested and served cost at this router, for its reports.
     [[nodiscard]] std::vector<decision::account_work> own_work(base::time_point now);
-
     /// Requested and served cost in the fleet less what the routers of `without` reported.
     [[nodiscard]] std::vector<decision::account_work> aggregated_work(const std::set<base::vm_id>& without,
                                                                       base::time_point now);
@@ -120,10 +124,10 @@
         /// between two reports otherwise.
         double recently_requested = 0;
     };
-    /// Recently requested costs at this router at one time, without weight.
-    struct recent_requests {
-        base::time_point at;
-        std::map<base::client_account_id, double> requested;
+    /// Costs in the fleet.
+    struct fleet_rate : rate {
+        /// Recently requested costs at the times of `sampled_at_`, without weight.
+        std::array<double, demand_samples> earlier_requested{};
     };
     using rates = std::map<base::client_account_id, rate>;
     struct peer_report {
@@ -137,11 +141,16 @@
     /// Recently requested cost of the account at this router.
     [[nodiscard]] double own_recent_requests(const base::client_account_id& account,
                                              base::time_point now) const;
-    /// Records what is requested at this router, for `growth`.
-    void record_history(base::time_point now);
-    /// Factor by which the requests of an account have grown at this router since its peers made the reports
-    /// in the sums; at least one.
-    [[nodiscard]] double growth(const base::client_account_id& account, base::time_point now) const;
+    /// Recently requested cost of the account in the fleet.
+    [[nodiscard]] double fleet_recent_requests(const base::client_account_id& account, const rate& sums,
+                                               base::time_point now) const;
+    /// Samples what is requested in the fleet, for `demand`.
+    void sample_requests(base::time_point now);
+    /// Recently requested cost of the account, or what it would be if the account had always requested as
+    /// much as since the oldest sample, whichever is more. So a flood shows in full while its decayed costs
+    /// still grow.
+    [[nodiscard]] double demand(const base::client_account_id& account, const fleet_rate& sums,
+                                base::time_point now) const;
     void rebase(base::time_point now);
     void subtract_from_fleet(const rates& accounts);
     /// Accounts that request at least their fair share and are below `min_service_ratio` since
@@ -151,11 +160,12 @@
 
     std::optional<base::time_point> origin_;
     rates own_;
-    /// Covers the age of the reports in the sums, oldest first.
-    std::deque<recent_requests> history_;
+    /// Times of the samples; the next one replaces the oldest.
+    std::array<std::optional<base::time_point>, demand_samples> sampled_at_;
+    std::size_t oldest_sample_ = 0;
     std::map<base::vm_id, peer_report> peers_;
     /// Sums over this router and its peers; of recently requested costs over the peers alone.
-    rates fleet_;
+    std::map<base::client_account_id, fleet_rate> fleet_;
     double stated_throughput_ = 0;
     double fair_level_ = 0;
     double stated_level_ = 0;
