Shed as much as lets a router that is behind serve the rest

What callers saw: a router whose event loop was more than 150 ms behind refused every model request until it had caught up, so that an account whose callers meet it began nothing there for seconds, however small its share. Cause: the lag is the time since the loop last caught up; where refusals alone keep it busy, it never does. Class: an overload that is met by refusing everything instead of a part. Ruled out: a bound that falls to a few requests (a trial with 4): refusals keep the loop behind, so that it stays there. Change: while the loop is behind, the requests in progress are bounded; the bound falls by a fifth in each 100 ms down to 64 and rises again after that. Plain requests are refused beyond 600 ms as before. Test: relay_test, a router that stays behind takes new requests while others end; with the old rule it refuses them all. The fairness test counts the requests in progress of its routers.

--- a/src/relay/admission.cpp
+++ b/src/relay/admission.cpp
@@ -24,11 +24,16 @@
     return delay + base::duration(jitter(random_));
 }
 
-std::optional<refusal> admission::refuse(bool cheap, double share) {
+void admission::update(bool behind, std::size_t in_progress, base::time_point now) {
+    saturation_.update(behind, now);
+    concurrency_.update(saturation_.lag(), in_progress, now);
+}
+
+std::optional<refusal> admission::refuse(bool cheap, double share, std::size_t in_progress) {
     if (share < 1 && std::uniform_real_distribution<double>(0, 1)(random_) >= share) {
         return refusal{base::error_code::over_fair_share, share_retry_delay(share)};
     }
-    if (!saturation_.refuses(cheap || share < 1)) {
+    if (!(cheap ? saturation_.refuses(true) : concurrency_.reached(in_progress))) {
         return std::nullopt;
     }
     // Reading a request takes processor time also if it is refused: callers that return at once keep the
--- a/src/relay/admission.h
+++ b/src/relay/admission.h
@@ -2,8 +2,10 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "relay/concurrency.h"
 #include "relay/saturation.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -23,17 +25,19 @@
 public:
     explicit admission(std::uint64_t seed) : random_(seed) {}
 
-    /// Records the result of a wait of the event loop, as `saturation::update`.
-    void update(bool behind, base::time_point now) { saturation_.update(behind, now); }
-    /// Decides on a request that was read. `cheap` is true for requests that cost little; `share` is the
-    /// share of its account's requests that are admitted, one for such requests.
-    [[nodiscard]] std::optional<refusal> refuse(bool cheap, double share);
+    /// Records the result of a wait of the event loop, as `saturation::update`, and the number of requests in
+    /// progress.
+    void update(bool behind, std::size_t in_progress, base::time_point now);
+    /// Decides on a request that was read, with `in_progress` others. `cheap` is true for requests that cost
+    /// little; `share` is the share of its account's requests that are admitted, one for such requests.
+    [[nodiscard]] std::optional<refusal> refuse(bool cheap, double share, std::size_t in_progress);
     [[nodiscard]] const saturation& loop_saturation() const { return saturation_; }
 
 private:
     [[nodiscard]] base::duration share_retry_delay(double share);
 
     saturation saturation_;
+    concurrency_limit concurrency_;
     std::mt19937_64 random_;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -129,7 +129,7 @@
 
 void relay::update_saturation() {
     const base::time_point now = clock_.now();
-    admission_.update(poller_.more_ready(), now);
+    admission_.update(poller_.more_ready(), exchanges_.size(), now);
     const bool overloaded = admission_.loop_saturation().overloaded(now);
     if (overloaded != overloaded_.exchange(overloaded)) {
         base::log_event(base::log_level::warning, name(), overloaded ? "overloaded" : "overload_over",
@@ -183,7 +183,7 @@
     }
     const bool costly = needs_engine(info->host, head.target);
     if (const std::optional<refusal> refused =
-            admission_.refuse(!costly, costly ? admitted_share(*info) : 1)) {
+            admission_.refuse(!costly, costly ? admitted_share(*info) : 1, exchanges_.size())) {
         if (costly) {
             count_refused(*info);
         }
--- a/tests/fairness_test.cpp
+++ b/tests/fairness_test.cpp
@@ -225,6 +225,7 @@
         double cpu_ms = 0;
         /// Requests that have arrived and are not read.
         std::deque<caller_request> arrived;
+        std::size_t in_progress = 0;
         std::map<base::client_account_id, base::cost> refused;
         base::time_point next_refusal_report;
     };
@@ -395,7 +396,7 @@
             reader.arrived.pop_front();
             read_request(router, request);
         }
-        reader.admission.update(!reader.arrived.empty(), now_);
+        reader.admission.update(!reader.arrived.empty(), reader.in_progress, now_);
         report_refused(router);
     }
 
@@ -410,7 +411,8 @@
         }
         const admission_table_ptr& admitted = routers_[router]->admission();
         const double share = admitted ? admitted->share(account.id) : 1;
-        if (const std::optional<relay::refusal> refusal = reader.admission.refuse(false, share)) {
+        if (const std::optional<relay::refusal> refusal =
+                reader.admission.refuse(false, share, reader.in_progress)) {
             reader.refused[account.id] += base::cost(cost_of(kind));
             return refuse(request, refusal->retry_after);
         }
@@ -427,6 +429,7 @@
         read.fingerprint = base::fingerprint(request.id.value());
         read.arrived = now_;
         requests_[request.id] = request;
+        ++reader.in_progress;
         routers_[router]->handle(read, now_);
         collect(router);
     }
@@ -477,13 +480,18 @@
         }
     }
 
+    void forget(std::map<session_id, caller_request>::iterator request) {
+        --relays_[request->second.router].in_progress;
+        requests_.erase(request);
+    }
+
     void refused(const end_request& end) {
         const auto found = requests_.find(end.id);
         if (found == requests_.end()) {
             return;
         }
         const caller_request request = found->second;
-        requests_.erase(found);
+        forget(found);
         if (end.status == 503) {
             refuse(request, end.retry_after.value_or(base::duration::zero()));
         } else {
@@ -565,7 +573,10 @@
         finished.outcome = outcome;
         finished.status = outcome == attempt_outcome::delivered ? 200 : 0;
         if (outcome == attempt_outcome::delivered || outcome == attempt_outcome::cut) {
-            requests_.erase(run.id);
+            const auto found = requests_.find(run.id);
+            if (found != requests_.end()) {
+                forget(found);
+            }
         }
         routers_[run.router]->handle(finished, now_);
         collect(run.router);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -222,7 +222,7 @@
         int count = 0;
         base::duration total{};
         for (int i = 0; i < 4000; ++i) {
-            if (const std::optional<relay::refusal> refused = gate.refuse(false, share)) {
+            if (const std::optional<relay::refusal> refused = gate.refuse(false, share, 0)) {
                 CHECK(refused->cause == base::error_code::over_fair_share);
                 total += refused->retry_after;
                 ++count;
@@ -241,13 +241,14 @@
 
 TEST_CASE("callers that are refused because the router is behind return after one to two times the lag") {
     const base::time_point start(std::chrono::hours(1));
+    constexpr std::size_t in_progress = 1000;
     relay::admission gate(1);
-    gate.update(true, start);
+    gate.update(true, in_progress, start);
     for (const milliseconds lag : {milliseconds(200), milliseconds(400), milliseconds(5000)}) {
-        gate.update(true, start + lag);
+        gate.update(true, in_progress, start + lag);
         const base::duration least = std::min<base::duration>(lag, milliseconds(500));
         for (int i = 0; i < 50; ++i) {
-            const std::optional<relay::refusal> refused = gate.refuse(false, 1);
+            const std::optional<relay::refusal> refused = gate.refuse(false, 1, in_progress);
             REQUIRE(refused);
             CHECK(refused->retry_after >= least);
             CHECK(refused->retry_after <= 2 * least);
@@ -255,6 +256,29 @@
     }
 }
 
+TEST_CASE("a router that stays behind takes new requests while others end, instead of refusing all") {
+    base::time_point now(std::chrono::hours(1));
+    relay::admission gate(1);
+    std::size_t in_progress = 200;
+    const auto run = [&](bool behind, int steps) {
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds(10);
+            gate.update(behind, in_progress, now);
+        }
+    };
+    run(true, 20);
+    CHECK(gate.refuse(false, 1, in_progress));
+    in_progress = 20;
+    for (int second = 0; second < 5; ++second) {
+        run(true, 100);
+        CHECK_FALSE(gate.refuse(false, 1, in_progress));
+        CHECK(gate.refuse(false, 1, 200));
+    }
+    CHECK(gate.refuse(true, 1, in_progress));
+    run(false, 200);
+    CHECK_FALSE(gate.refuse(false, 1, 200));
+}
+
 TEST_CASE("a request is forwarded without reserved and hop-by-hop fields, and its answer is returned") {
     router_fixture router;
     wire caller = router.connect_caller();
