Close the connections of callers of a router that is not ready

It said that it was not ready, but an open connection stays at its router, and since connections of refused callers are kept, no caller ever left. Cause: only a planned stop closed connections. Ruled out: overload; a router that is ready and behind keeps its connections, since a new one costs more than a refusal. Change: while a router is not ready, each connection ends with its answer, so that the caller's next one reaches another router. Test: relay_test, a caller of a router that is not ready finds its connection closed after the answer; without the change the connection stays open.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -153,7 +153,8 @@
 
 bool relay::closes_after_request() const {
     const std::shared_ptr<const dispatch::router_state> router = state_.current();
-    return stopping_ || (router && router->draining) || (server_ && server_->nearly_full());
+    return stopping_ || (router && (router->draining || !router->ready)) ||
+           (server_ && server_->nearly_full());
 }
 
 relay::exchange* relay::find(dispatch::session_id id) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -87,6 +87,13 @@
         }
         REQUIRE(state_.current()->draining);
     }
+    /// Lets the relay see a router that should get no new connections.
+    void publish_not_ready() {
+        std::shared_ptr<dispatch::router_state> changed =
+            std::make_shared<dispatch::router_state>(*state_.current());
+        changed->ready = false;
+        state_.publish(changed);
+    }
     /// Ends the workers, as the process does once the dispatcher says that it may stop.
     void stop() { supervisor_.stop(); }
     fake_server& upstream(std::size_t i = 0) { return upstreams_.at(i); }
@@ -279,6 +286,17 @@
     CHECK_FALSE(gate.refuse(false, 1, 200));
 }
 
+TEST_CASE(
+    "a router that is not ready closes the connections of its callers after an answer, so that they reach "
+    "another one") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    router.publish_not_ready();
+    caller.send(request("/keyed/1", "t1", "Authorization: Bearer unknown\r\n"));
+    CHECK(caller.read_to_end().find("Connection: close") != std::string::npos);
+    CHECK(caller.ended());
+}
+
 TEST_CASE("a request is forwarded without reserved and hop-by-hop fields, and its answer is returned") {
     router_fixture router;
     wire caller = router.connect_caller();
