Hold accounts that are ahead to a rate instead of letting all their requests wait

Cause: the bound on service compared sums of two seconds with a threshold and let every request of an account beyond it wait, until the sum had decayed; and it looked only at accounts that request the fair level or more, which follows what the best served account gets. Class: a switch on sums that are older than what it decides on. Change: the bound is a rate that admission applies to accounts near it or beyond; what they got beyond it is taken off, down to 0.85. Accounts that request half of the fair level, and more than what the others are left in any case, set it from 0.3 s below 0.7 of their due until they have 0.8. Only repeats of an account beyond the bound are refused outright.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -434,10 +434,6 @@
 }
 
 bool dispatcher::try_place(session& request) {
-    if (request.needs_engine && fair_share_.exceeds_service_bound(request.account)) {
-        request.limit = placement_limit::service;
-        return false;
-    }
     const bool late = request.earlier_attempts_time + (now_ - request.arrived) >= request.route->objective;
     placement_request placement_needs;
     placement_needs.pool = request.pool;
@@ -546,7 +542,7 @@
             if (refuse_if_paused(request)) {
                 continue;
             }
-            failures += request.limit == placement_limit::service ? 0 : 1;
+            ++failures;
             if (now_ - request.arrived >= max_queue_time(request)) {
                 refuse(request,
                        placement_.ready_count(pool) == 0 ? error_code::no_upstream : error_code::queue_full);
@@ -740,10 +736,15 @@
     return true;
 }
 
-/// Places a request that no upstream has run under the same limits as a new one, or lets it wait. Otherwise
-/// accounts ahead of their share would fill the engines with repeats while others crash.
+/// Places a request that no upstream has run under the same limits as a new one, or lets it wait; not if its
+/// account has got too much since it was admitted. Otherwise accounts ahead of their share would fill the
+/// engines with repeats while others crash.
 bool dispatcher::place_again(session& request, bool counts_as_retry) {
     withdraw_service(request);
+    if (fair_share_.exceeds_service_bound(request.account)) {
+        request.limit = placement_limit::service;
+        return false;
+    }
     if (counts_as_retry && !retry_budget_.try_take(request.pool, now_)) {
         return false;
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -82,7 +82,7 @@
         unavailable, ///< no upstream is ready, reachable and not yet tried
         capacity,    ///< the best upstream has no slot or memory left for it
         delay,       ///< its first event would come too late
-        service,     ///< its account is too far ahead of a backlogged one
+        service,     ///< it is a repeat, and its account is too far ahead of a backlogged one
         rate_limit,  ///< the upstream that had room states a limit of its request rate
         pause,       ///< the upstream that had room states that it wants a pause
     };
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -15,13 +15,21 @@
 constexpr double overload_pressure = 1.05;
 /// Accounts whose decayed costs are below this many tokens are forgotten.
 constexpr double negligible_tokens = 1;
-/// Share of its part of the stated throughput that no account has to leave to others.
+/// Share of the stated throughput that is admitted however full the engines are, and of the fair level that
+/// no account has to leave to others if no throughput is stated.
 constexpr double guaranteed_share = 0.5;
 /// Admitted requests, as a multiple of what the engines can serve. Above one, since some of those that are
 /// admitted wait for their cached parts and are refused.
 constexpr double admission_margin = 1.15;
 /// Load below which engines are not assumed to have more room.
 constexpr double min_engine_load = 0.3;
+/// Accounts that request less than this share of the fair level do not hold others back.
+constexpr double min_compared_share = 0.5;
+/// Share of the bound up to which accounts may get whatever engines have room for, so that they catch up.
+constexpr double unbounded_share = 0.8;
+/// Share of the bound that accounts beyond it are left, however far they are ahead: what they got while the
+/// others wanted less is not held against them for longer.
+constexpr double least_bounded_share = 0.85;
 /// Weight at which the origin of time is moved: e^10, reached after 20 s.
 constexpr double max_weight = 22026;
 
@@ -248,7 +256,7 @@
     const double guaranteed = guaranteed_share * (stated_capacity > 0 ? stated_level_ : fair_level_);
     // The fair level alone bounds no gap: it follows what was served, and what an account cannot use of its
     // share goes to the others.
-    service_bound_ = std::max(find_least_service(now) / min_service_ratio, guaranteed);
+    service_bound_ = std::max(find_least_service(guaranteed, now) / min_service_ratio, guaranteed);
 }
 
 double fair_share::own_recent_requests(const base::client_account_id& account, base::time_point now) const {
@@ -304,14 +312,24 @@
     const double level = max_min_level(sorted, capacity);
     admission_table::shares limited;
     for (const auto& [account, amount] : requested) {
-        if (amount > level) {
-            limited[account] = level / amount;
+        const double allowed = std::min(level, bounded_service(fleet_.at(account)) / factor);
+        if (amount > allowed) {
+            limited[account] = allowed / amount;
         }
     }
     return limited.empty() ? nullptr : std::make_shared<const admission_table>(std::move(limited));
 }
 
-double fair_share::find_least_service(base::time_point now) {
+double fair_share::bounded_service(const rate& account) const {
+    if (account.served <= unbounded_share * service_bound_) {
+        return std::numeric_limits<double>::infinity();
+    }
+    // What the account got beyond the bound is taken off for as long as it is in the sums.
+    const double remaining = 2 * service_bound_ - account.served;
+    return std::max({remaining, least_bounded_share * service_bound_, guaranteed_share * stated_level_});
+}
+
+double fair_share::find_least_service(double guaranteed, base::time_point now) {
     double greatest = 0;
     for (const auto& [account, account_rate] : fleet_) {
         greatest = std::max(greatest, account_rate.served);
@@ -319,10 +337,15 @@
     double least = std::numeric_limits<double>::infinity();
     std::map<base::client_account_id, base::time_point> behind_since;
     for (const auto& [account, account_rate] : fleet_) {
-        if (account_rate.requested < fair_level_ || account_rate.served >= min_service_ratio * greatest) {
+        const double due = std::min(account_rate.requested, greatest);
+        const auto known = behind_since_.find(account);
+        const double ratio = known == behind_since_.end() ? min_service_ratio : caught_up_ratio;
+        // Holding others back does not help an account that requests less than what they are left in any
+        // case.
+        if (account_rate.requested < std::max(min_compared_share * fair_level_, guaranteed) ||
+            account_rate.served >= ratio * due) {
             continue;
         }
-        const auto known = behind_since_.find(account);
         const base::time_point since = known == behind_since_.end() ? now : known->second;
         behind_since.emplace(account, since);
         if (now - since >= catch_up_time) {
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -35,7 +35,7 @@
     base::cost fair;
     /// Level at which they would use up the throughput that the operator states; zero if that is unknown.
     base::cost stated;
-    /// Service beyond which requests of an account wait.
+    /// Service to which accounts beyond it are held.
     base::cost bound;
 };
 
@@ -59,11 +59,15 @@
     /// The report of a peer that has been silent for longer than this is dropped.
     static constexpr base::duration report_timeout = std::chrono::seconds(2);
 
-    /// Least service of a backlogged account, as a share of that of the best served one, that other accounts
-    /// may cause.
+    /// Least service of a backlogged account that other accounts may cause, as a share of what is due to it:
+    /// the lesser of what it requests and what the best served account gets.
     static constexpr double min_service_ratio = 0.7;
-    /// How long a backlogged account may stay below `min_service_ratio` before the others are held back.
-    static constexpr base::duration catch_up_time = std::chrono::seconds(1);
+    /// Service from which on an account that was below `min_service_ratio` has caught up. Higher, so that the
+    /// others are held steadily and not by turns.
+    static constexpr double caught_up_ratio = 0.8;
+    /// How long an account may stay below `min_service_ratio` before the others are held back; requests wait
+    /// that long for room.
+    static constexpr base::duration catch_up_time = std::chrono::milliseconds(300);
 
     /// Sets the throughput of all engines that the operator states, in tokens per second. Zero if unknown.
     void set_stated_throughput(double tokens_per_s) { stated_throughput_ = tokens_per_s; }
@@ -94,11 +98,12 @@
     /// Service of the account in the fleet divided by the fair level: below one the account got less than
     /// its fair share, above one more. Zero while the capacity suffices for all.
     [[nodiscard]] double relative_service(const base::client_account_id& account) const;
-    /// Returns true if the account got so much more than a backlogged one that its requests have to wait,
-    /// even where engines have room: what holds the other account back may be its routers.
+    /// Returns true if the account got so much more than a backlogged one that it gets no room for repeats.
     [[nodiscard]] bool exceeds_service_bound(const base::client_account_id& account) const;
     /// Shares of the requests to admit; null if all are admitted. Accounts that request more than a common
-    /// level are held to it. `engine_load` is the load of the engines, one where they have no room.
+    /// level are held to it, and those that got so much more than a backlogged one, to the service bound,
+    /// even where engines have room: what holds the other account back may be its routers. `engine_load` is
+    /// the load of the engines, one where they have no room.
     [[nodiscard]] admission_table_ptr admission(double engine_load, base::time_point now) const;
     /// Requested cost divided by served cost; above one the engines are overloaded.
     [[nodiscard]] double pressure() const { return pressure_; }
@@ -153,10 +158,12 @@
                                 base::time_point now) const;
     void rebase(base::time_point now);
     void subtract_from_fleet(const rates& accounts);
-    /// Accounts that request at least their fair share and are below `min_service_ratio` since
-    /// `catch_up_time` hold back the others. Returns the least service of such an account; infinite if there
-    /// is none.
-    [[nodiscard]] double find_least_service(base::time_point now);
+    /// Accounts that request a good part of the fair level or more and are below `min_service_ratio` of what
+    /// is due to them since `catch_up_time` hold back the others, which are left `guaranteed` in any case.
+    /// Returns the least service of such an account; infinite if there is none.
+    [[nodiscard]] double find_least_service(double guaranteed, base::time_point now);
+    /// Service that the bound leaves the account; infinite unless it is near the bound or beyond.
+    [[nodiscard]] double bounded_service(const rate& account) const;
 
     std::optional<base::time_point> origin_;
     rates own_;
@@ -170,9 +177,10 @@
     double fair_level_ = 0;
     double stated_level_ = 0;
     double pressure_ = 1;
-    /// Backlogged accounts whose service is below `min_service_ratio`, with the time since when.
+    /// Backlogged accounts whose service fell below `min_service_ratio` and has not caught up, with the time
+    /// since when.
     std::map<base::client_account_id, base::time_point> behind_since_;
-    /// Service beyond which requests of an account wait.
+    /// Service to which accounts beyond it are held.
     double service_bound_ = std::numeric_limits<double>::infinity();
 };
 
