Report accounts that have changed much at once in a large fleet

What callers saw: until the other routers heard of a flood, up to half a second, it took the room that engines have, and that second counts as the best served one beside which the others fall short. Cause: requested and served costs reached other routers with the reports of all work only: 100 ms to the delegate, 150 ms to another one, 150 ms back. Class: fleet-wide decisions on stale sums. Change: a router reports the accounts whose costs differ from its last report by 2% of what all accounts request over the square root of the fleet's size, its delegate those that differ by 2%, at most every 30 ms; whoever hears of it computes the shares anew. The message is a work report without upstreams, so that the format stays. Test: admission_test, a flood is reported before the next report of all accounts, and nothing that has not changed much; the calls are new, so it can't be run on the code before.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -201,13 +201,16 @@
     if (plan && now >= plan->answer_at()) {
         answer_open_requests();
     }
+    if (now >= news_due()) {
+        update_shares();
+        send_news();
+    }
     if (now >= next_report_ ||
         (placement_.unreported_tokens() > early_report_tokens && now >= last_report_ + min_report_interval)) {
         last_report_ = now;
-        fair_share_.update(now);
-        log_worst_served_account();
         placement_.update(now);
-        admission_ = fair_share_.admission(placement_.engine_load(), now);
+        update_shares();
+        log_worst_served_account();
         limits_.set_fleet_size(fleet_size());
         limits_.update(now);
         update_retry_budget();
@@ -237,7 +240,7 @@
 }
 
 base::time_point dispatcher::next_due() const {
-    base::time_point due = std::min(members_.next_due(), next_report_);
+    base::time_point due = std::min({members_.next_due(), next_report_, news_due()});
     if (!deadlines_.empty()) {
         due = std::min(due, deadlines_.begin()->first);
     }
@@ -256,6 +259,13 @@
     return due;
 }
 
+void dispatcher::update_shares() {
+    last_share_update_ = now_;
+    fair_share_.set_fleet_size(fleet_size());
+    fair_share_.update(now_);
+    admission_ = fair_share_.admission(placement_.engine_load(), now_);
+}
+
 dispatcher_output dispatcher::take_output() {
     return std::exchange(output_, {});
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -199,6 +199,10 @@
     void log_worst_served_account();
     void send_report();
     void send_aggregated_reports();
+    /// When the shares are to be updated and changed accounts reported, before the next report.
+    [[nodiscard]] base::time_point news_due() const;
+    void send_news();
+    void update_shares();
     void send_limits();
     void send_to(const base::vm_id& to, decision::message body);
     void receive_report(const decision::envelope& received);
@@ -241,6 +245,9 @@
     /// Until when this router watches the store itself although it has a delegate.
     base::time_point own_watch_until_;
     base::time_point next_aggregated_report_;
+    base::time_point last_share_update_;
+    /// A peer has reported changed accounts since the last update of the shares.
+    bool news_received_ = false;
     base::time_point next_share_line_;
     roster roster_;
     request_limits limits_;
--- a/src/dispatch/reporting.cpp
+++ b/src/dispatch/reporting.cpp
@@ -10,6 +10,9 @@
 
 /// Interval at which a delegate sends aggregated reports.
 constexpr base::duration digest_interval = std::chrono::milliseconds(150);
+/// Shortest interval between two reports of changed accounts. Until the other routers know of a flood, it
+/// takes the room that engines have.
+constexpr base::duration news_interval = std::chrono::milliseconds(30);
 
 } // namespace
 
@@ -28,7 +31,8 @@
         report.aggregated ? forward_scope::own_data_centre : forward_scope::everywhere;
     placement_.receive_report(from, report.upstreams, now_,
                               delegation_.is_delegate() ? scope : forward_scope::none);
-    fair_share_.receive_report(from, report.accounts, now_);
+    fair_share_.receive_report(from, report.accounts, now_, !report.aggregated);
+    news_received_ = news_received_ || (report.upstreams.empty() && !report.accounts.empty());
     if (!report.aggregated || !from_delegate) {
         return;
     }
@@ -67,6 +71,7 @@
         return;
     }
     next_aggregated_report_ = now_ + digest_interval;
+    fair_share_.record_forwarded(now_);
     placement_.begin_aggregation(now_);
     for (const auto& [reporter, sequence] : delegation_.reporters(now_)) {
         const std::set<base::vm_id> without{reporter};
@@ -83,6 +88,50 @@
     placement_.end_aggregation();
 }
 
+base::time_point dispatcher::news_due() const {
+    const bool pending = news_received_ || fair_share_.has_news(delegation_.is_delegate());
+    return delegation_.needed() && pending ? last_share_update_ + news_interval : base::time_point::max();
+}
+
+/// Reports the accounts that have changed much, between the reports of all work.
+void dispatcher::send_news() {
+    news_received_ = false;
+    if (!delegation_.is_delegate()) {
+        std::vector<decision::account_work> news = fair_share_.take_own_news(now_);
+        if (!news.empty()) {
+            send_to(delegation_.delegate(), decision::work_report{{}, std::move(news), false, 0, 0});
+            delegation_.record_sent_report(sequence_, now_);
+        }
+        return;
+    }
+    std::set<base::client_account_id> changed;
+    std::set<base::client_account_id> changed_near;
+    for (const auto& [account, near] : fair_share_.take_fleet_changes(now_)) {
+        changed.insert(account);
+        if (near) {
+            changed_near.insert(account);
+        }
+    }
+    if (changed.empty()) {
+        return;
+    }
+    for (const auto& [reporter, sequence] : delegation_.reporters(now_)) {
+        send_to(reporter, decision::work_report{{},
+                                                fair_share_.aggregated_work({reporter}, now_, &changed),
+                                                true,
+                                                sequence,
+                                                roster_position_});
+    }
+    if (changed_near.empty()) {
+        return;
+    }
+    const std::set<base::vm_id>& others = delegation_.other_delegates();
+    for (const base::vm_id& delegate : others) {
+        send_to(delegate, decision::work_report{
+                              {}, fair_share_.aggregated_work(others, now_, &changed_near), true, 0, 0});
+    }
+}
+
 /// Such a sender disagrees on the delegates. The same sums arrive from the delegate that this router knows.
 bool dispatcher::foreign_aggregate(const base::vm_id& from, bool aggregated) const {
     return aggregated && !(delegation_.is_delegate() ? delegation_.other_delegates().count(from) != 0
--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -30,6 +30,9 @@
 /// Share of the bound that accounts beyond it are left, however far they are ahead: what they got while the
 /// others wanted less is not held against them for longer.
 constexpr double least_bounded_share = 0.85;
+/// Change of the costs of an account that is reported at once, as a share of what all accounts request or, if
+/// that is more, of the stated throughput.
+constexpr double news_share = 0.02;
 /// Weight at which the origin of time is moved: e^10, reached after 20 s.
 constexpr double max_weight = 22026;
 
@@ -74,7 +77,7 @@
     for (auto& [account, sums] : fleet_) {
         static_cast<rate&>(sums) = {};
     }
-    const auto rescale = [&](rates& accounts, double factor_of_recent) {
+    const auto rescale = [&](auto& accounts, double factor_of_recent) {
         for (auto entry = accounts.begin(); entry != accounts.end();) {
             rate& account_rate = entry->second;
             account_rate.served /= factor;
@@ -120,6 +123,7 @@
         std::chrono::duration<double>(decay_time) / std::chrono::duration<double>(recent_decay_time);
     fleet_.try_emplace(account);
     own_[account].recently_requested += amount.value() * scale * recent_weight(now);
+    track_change(account, true, true, now);
 }
 
 void fair_share::record_service(const base::client_account_id& account, base::cost amount,
@@ -128,6 +132,7 @@
     const double added = amount.value() * weight(now);
     own_[account].served += added;
     fleet_[account].served += added;
+    track_change(account, true, true, now);
 }
 
 void fair_share::withdraw_service(const base::client_account_id& account, base::cost amount,
@@ -140,7 +145,7 @@
 }
 
 void fair_share::receive_report(const base::vm_id& from, const std::vector<decision::account_work>& accounts,
-                                base::time_point now) {
+                                base::time_point now, bool near) {
     rebase(now);
     peer_report& report = peers_[from];
     report.received_at = now;
@@ -154,9 +159,70 @@
         sum.served += reported.served;
         sum.requested += reported.requested;
         sum.recently_requested += reported.recently_requested;
+        track_change(work.account, false, near, now);
+    }
+}
+
+fair_share::reported_costs fair_share::own_costs(const base::client_account_id& account,
+                                                 base::time_point now) const {
+    const auto own = own_.find(account);
+    return own == own_.end()
+               ? reported_costs{}
+               : reported_costs{own->second.served / weight(now), own_recent_requests(account, now)};
+}
+
+fair_share::reported_costs fair_share::fleet_costs(const base::client_account_id& account, const rate& sums,
+                                                   base::time_point now) const {
+    return {sums.served / weight(now), fleet_recent_requests(account, sums, now)};
+}
+
+void fair_share::track_change(const base::client_account_id& account, bool own, bool near,
+                              base::time_point now) {
+    const auto differ = [](const reported_costs& a, const reported_costs& b, double threshold) {
+        return std::abs(a.served - b.served) > threshold ||
+               std::abs(a.recently_requested - b.recently_requested) > threshold;
+    };
+    const fleet_rate& sums = fleet_[account];
+    if (differ(fleet_costs(account, sums, now), sums.reported, news_threshold_)) {
+        bool& changed_near = fleet_changes_[account];
+        changed_near = changed_near || near;
+    }
+    if (own && differ(own_costs(account, now), own_[account].reported,
+                      news_threshold_ / std::sqrt(static_cast<double>(fleet_size_)))) {
+        own_changes_.insert(account);
     }
 }
 
+std::vector<decision::account_work> fair_share::take_own_news(base::time_point now) {
+    rebase(now);
+    std::vector<decision::account_work> news;
+    const double factor = weight(now);
+    for (const base::client_account_id& account : std::exchange(own_changes_, {})) {
+        own_rate& own = own_[account];
+        own.reported = own_costs(account, now);
+        news.push_back({account, base::cost(own.reported.served), base::cost(own.requested / factor),
+                        base::cost(own.reported.recently_requested)});
+    }
+    return news;
+}
+
+std::map<base::client_account_id, bool> fair_share::take_fleet_changes(base::time_point now) {
+    rebase(now);
+    for (const auto& [account, near] : fleet_changes_) {
+        fleet_rate& sums = fleet_[account];
+        sums.reported = fleet_costs(account, sums, now);
+    }
+    return std::exchange(fleet_changes_, {});
+}
+
+void fair_share::record_forwarded(base::time_point now) {
+    rebase(now);
+    for (auto& [account, sums] : fleet_) {
+        sums.reported = fleet_costs(account, sums, now);
+    }
+    fleet_changes_.clear();
+}
+
 void fair_share::subtract_from_fleet(const rates& accounts) {
     for (const auto& [account, account_rate] : accounts) {
         rate& sum = fleet_[account];
@@ -178,7 +244,9 @@
     rebase(now);
     std::vector<decision::account_work> work;
     const double factor = weight(now);
-    for (const auto& [account, account_rate] : own_) {
+    own_changes_.clear();
+    for (auto& [account, account_rate] : own_) {
+        account_rate.reported = own_costs(account, now);
         const double served = account_rate.served / factor;
         const double requested = account_rate.requested / factor;
         if (requested >= negligible_tokens || served >= negligible_tokens) {
@@ -189,12 +257,16 @@
     return work;
 }
 
-std::vector<decision::account_work> fair_share::aggregated_work(const std::set<base::vm_id>& without,
-                                                                base::time_point now) {
+std::vector<decision::account_work>
+fair_share::aggregated_work(const std::set<base::vm_id>& without, base::time_point now,
+                            const std::set<base::client_account_id>* only) {
     rebase(now);
     const double factor = weight(now);
     std::vector<decision::account_work> work;
     for (const auto& [account, account_rate] : fleet_) {
+        if (only != nullptr && only->count(account) == 0) {
+            continue;
+        }
         rate remaining = account_rate;
         for (const base::vm_id& vm : without) {
             const auto report = peers_.find(vm);
@@ -233,16 +305,19 @@
     sample_requests(now);
     double served = 0;
     double requested_sum = 0;
+    double recent_sum = 0;
     std::vector<double> requested;
     requested.reserve(fleet_.size());
     for (const auto& [account, account_rate] : fleet_) {
         served += account_rate.served;
         requested_sum += account_rate.requested;
+        recent_sum += fleet_recent_requests(account, account_rate, now);
         requested.push_back(account_rate.requested);
     }
     pressure_ = served > 0 ? requested_sum / served : 1;
     const double stated_capacity =
         stated_throughput_ * std::chrono::duration<double>(decay_time).count() * weight(now);
+    news_threshold_ = news_share * std::max(recent_sum, stated_capacity / weight(now));
     fair_level_ = std::numeric_limits<double>::infinity();
     stated_level_ = std::numeric_limits<double>::infinity();
     service_bound_ = std::numeric_limits<double>::infinity();
--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -6,6 +6,7 @@
 #include "decision/message.h"
 #include "dispatch/admission.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <limits>
@@ -82,15 +83,34 @@
     void withdraw_service(const base::client_account_id& account, base::cost amount,
                           base::time_point counted_at, base::time_point now);
     /// Takes a report of a peer. For each account that it names, it replaces what the peer reported before.
+    /// `near` is true if it is on the work of this data centre.
     void receive_report(const base::vm_id& from, const std::vector<decision::account_work>& accounts,
-                        base::time_point now);
+                        base::time_point now, bool near = true);
     /// Removes what a peer reported.
     void drop_peer(const base::vm_id& peer);
     /// Requested and served cost at this router, for its reports.
     [[nodiscard]] std::vector<decision::account_work> own_work(base::time_point now);
-    /// Requested and served cost in the fleet less what the routers of `without` reported.
-    [[nodiscard]] std::vector<decision::account_work> aggregated_work(const std::set<base::vm_id>& without,
-                                                                      base::time_point now);
+    /// Requested and served cost in the fleet less what the routers of `without` reported, of the accounts in
+    /// `only` unless that is null.
+    [[nodiscard]] std::vector<decision::account_work>
+    aggregated_work(const std::set<base::vm_id>& without, base::time_point now,
+                    const std::set<base::client_account_id>* only = nullptr);
+
+    /// Sets the number of routers that report; the change of one router counts against its part of the fleet.
+    void set_fleet_size(std::size_t routers) { fleet_size_ = std::max<std::size_t>(routers, 1); }
+    /// Returns true if the costs of an account have changed so much since they were last reported that other
+    /// routers should not wait for the next report: those of this router, or for a delegate those of the
+    /// fleet.
+    [[nodiscard]] bool has_news(bool delegate) const {
+        return delegate ? !fleet_changes_.empty() : !own_changes_.empty();
+    }
+    /// Requested and served cost at this router of the accounts that have changed so much.
+    [[nodiscard]] std::vector<decision::account_work> take_own_news(base::time_point now);
+    /// The accounts whose costs in the fleet have changed so much; true for those that changed in this data
+    /// centre.
+    [[nodiscard]] std::map<base::client_account_id, bool> take_fleet_changes(base::time_point now);
+    /// Records that the costs of all accounts in the fleet are reported.
+    void record_forwarded(base::time_point now);
 
     /// Drops reports of silent peers and recomputes fair level and pressure. To be called every few ten
     /// milliseconds.
@@ -129,8 +149,18 @@
         /// between two reports otherwise.
         double recently_requested = 0;
     };
+    /// Costs as they were last reported, without weight.
+    struct reported_costs {
+        double served = 0;
+        double recently_requested = 0;
+    };
+    /// Costs at this router.
+    struct own_rate : rate {
+        reported_costs reported;
+    };
     /// Costs in the fleet.
     struct fleet_rate : rate {
+        reported_costs reported;
         /// Recently requested costs at the times of `sampled_at_`, without weight.
         std::array<double, demand_samples> earlier_requested{};
     };
@@ -157,6 +187,13 @@
     [[nodiscard]] double demand(const base::client_account_id& account, const fleet_rate& sums,
                                 base::time_point now) const;
     void rebase(base::time_point now);
+    /// Adds the account to the changes that are reported at once if its costs have changed enough. `own` is
+    /// true if they changed at this router, `near` if in this data centre.
+    void track_change(const base::client_account_id& account, bool own, bool near, base::time_point now);
+    [[nodiscard]] reported_costs own_costs(const base::client_account_id& account,
+                                           base::time_point now) const;
+    [[nodiscard]] reported_costs fleet_costs(const base::client_account_id& account, const rate& sums,
+                                             base::time_point now) const;
     void subtract_from_fleet(const rates& accounts);
     /// Accounts that request a good part of the fair level or more and are below `min_service_ratio` of what
     /// is due to them since `catch_up_time` hold back the others, which are left `guaranteed` in any case.
@@ -166,13 +203,19 @@
     [[nodiscard]] double bounded_service(const rate& account) const;
 
     std::optional<base::time_point> origin_;
-    rates own_;
+    std::map<base::client_account_id, own_rate> own_;
     /// Times of the samples; the next one replaces the oldest.
     std::array<std::optional<base::time_point>, demand_samples> sampled_at_;
     std::size_t oldest_sample_ = 0;
     std::map<base::vm_id, peer_report> peers_;
     /// Sums over this router and its peers; of recently requested costs over the peers alone.
     std::map<base::client_account_id, fleet_rate> fleet_;
+    std::size_t fleet_size_ = 1;
+    /// Change of the costs of an account in the fleet that is reported at once.
+    double news_threshold_ = 0;
+    std::set<base::client_account_id> own_changes_;
+    /// True if the costs changed in this data centre.
+    std::map<base::client_account_id, bool> fleet_changes_;
     double stated_throughput_ = 0;
     double fair_level_ = 0;
     double stated_level_ = 0;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -57,3 +58,44 @@
         CHECK((table ? table->share(flooding) : 1) >= usual->share(flooding) / 2);
     }
 }
+
+TEST_CASE(
+    "a flood is reported before the next report of all accounts, and nothing that has not changed much") {
+    base::time_point now(std::chrono::hours(1));
+    const base::client_account_id calm("calm");
+    const base::client_account_id flooding("flooding");
+    constexpr std::size_t routers = 25;
+    fair_share at_router;
+    fair_share at_delegate;
+    const base::vm_id router("r");
+    for (fair_share* const share : {&at_router, &at_delegate}) {
+        share->set_stated_throughput(500000);
+        share->set_fleet_size(routers);
+        share->update(now);
+    }
+    at_router.record_request(calm, base::cost(900), now);
+    CHECK_FALSE(at_router.has_news(false));
+    at_delegate.receive_report(router, at_router.own_work(now), now);
+    CHECK_FALSE(at_delegate.has_news(true));
+    at_delegate.record_forwarded(now);
+
+    now += milliseconds(10);
+    at_router.record_request(flooding, base::cost(30000), now);
+    REQUIRE(at_router.has_news(false));
+    const std::vector<decision::account_work> news = at_router.take_own_news(now);
+    REQUIRE(news.size() == 1);
+    CHECK(news.front().account == flooding);
+    CHECK(news.front().requested.value() == Approx(30000));
+    CHECK_FALSE(at_router.has_news(false));
+    at_delegate.receive_report(router, news, now);
+    REQUIRE(at_delegate.has_news(true));
+    const std::map<base::client_account_id, bool> changed = at_delegate.take_fleet_changes(now);
+    REQUIRE(changed.size() == 1);
+    CHECK(changed.begin()->first == flooding);
+    CHECK(changed.begin()->second);
+    CHECK_FALSE(at_delegate.has_news(true));
+
+    at_delegate.receive_report(base::vm_id("other delegate"), news, now, false);
+    REQUIRE(at_delegate.has_news(true));
+    CHECK_FALSE(at_delegate.take_fleet_changes(now).begin()->second);
+}
