--- a/src/dispatch/share.h
+++ b/src/dispatch/share.h
@@ -96,7 +96,8 @@
     aggregated_work(const std::set<base::vm_id>& without, base::time_point now,
                     const std::set<base::client_account_id>* only = nullptr);
 
-    /// Sets the number of routers that report; the change of one router counts against its part of the fleet.
+    /// Sets the number of routers: the more there are, the smaller a change at one of them has to be
+    /// reported.
     void set_fleet_size(std::size_t routers) { fleet_size_ = std::max<std::size_t>(routers, 1); }
     /// Returns true if the costs of an account have changed so much since they were last reported that other
     /// routers should not wait for the next report: those of this router, or for a delegate those of the
--- a/src/relay/concurrency.h
+++ b/src/relay/concurrency.h
@@ -9,8 +9,8 @@
 
 /// Bounds the requests in progress of an event loop that has more work than its processor can do: the bound
 /// falls by a factor while the loop is behind and rises by steps after that. So the loop sheds as much as
-/// lets it finish the rest, where it would otherwise refuse everything until it has caught up. Thread safety:
-/// used by one thread.
+/// lets it finish the rest, where it would otherwise refuse everything until it has caught up.
+/// Thread safety: used by one thread.
 class concurrency_limit {
 public:
     /// Interval of the changes of the bound; a stream takes several of them.
