Correct the comment on the guaranteed share

Cause: it spoke of the fair level only; the share also applies to the part of the stated throughput. Ruled out: a change of behaviour; comment only. Change: the comment.

--- a/src/dispatch/share.cpp
+++ b/src/dispatch/share.cpp
@@ -15,8 +15,8 @@
 constexpr double overload_pressure = 1.05;
 /// Accounts whose decayed costs are below this many tokens are forgotten.
 constexpr double negligible_tokens = 1;
-/// Share of the stated throughput that is admitted however full the engines are, and of the fair level that
-/// no account has to leave to others if no throughput is stated.
+/// Share of the stated throughput that is admitted however full the engines are, and of its part of that
+/// throughput, or of the fair level if none is stated, that no account has to leave to others.
 constexpr double guaranteed_share = 0.5;
 /// Admitted requests, as a multiple of what the engines can serve. Above one, since some of those that are
 /// admitted wait for their cached parts and are refused.
