Fill engines to 0.3 of their memory, so that the streams on them end in time

Cause: an engine reads prompts in chunks between the tokens of its streams. With up to 64 requests in progress it always had a prompt to read, and a stream got an event each 170 to 210 ms: 12 s suffice for 60 events, and the largest have 159. Memory was filled to 0.9, so that parts were evicted that were read again. Change: requests are placed up to 0.3 of the memory; the largest need at most half of that free. One section of dispatch_test gets engines with more memory, so that still delay and not memory is what binds in it; its checks are the same.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -61,6 +61,13 @@
 constexpr double plain_requests_per_slot = 3;
 /// Share of an engine's memory that requests may fill.
 constexpr double max_memory_share = 0.9;
+/// Share of an engine's memory up to which requests are placed. The rest keeps cached parts. Each prompt that
+/// an engine reads delays the tokens of every stream beside it, so with more of them in progress long answers
+/// miss their deadline.
+constexpr double target_memory_share = 0.3;
+/// Part of that memory which must be free for a request, however large it is. Otherwise the largest would
+/// find no room as long as small ones arrive.
+constexpr double required_room_share = 0.5;
 /// Connections to one upstream that a router may always have.
 constexpr std::uint32_t min_connections_per_router = 2;
 /// Share of an upstream's connections that all routers use together.
@@ -530,9 +537,15 @@
     if (total.running > 0 && static_cast<double>(total.running) >= (slots - margin) * capacity_share) {
         return false;
     }
-    const double limit = static_cast<double>(engine->memory.value()) * max_memory_share * capacity_share;
-    return limit <= 0 || total.running == 0 ||
-           static_cast<double>((total.memory_tokens + memory_tokens).value()) <= limit;
+    const double memory = static_cast<double>(engine->memory.value()) * capacity_share;
+    if (memory <= 0 || total.running == 0) {
+        return true;
+    }
+    const double used = static_cast<double>(total.memory_tokens.value());
+    const double needed = static_cast<double>(memory_tokens.value());
+    const double target = memory * target_memory_share;
+    return used + std::min(needed, target * required_room_share) <= target &&
+           used + needed <= memory * max_memory_share;
 }
 
 placement_options placement::consider(const placement_request& request, base::time_point now) {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1622,6 +1622,9 @@
     }
     SECTION("the engine has much to read before") {
         dispatcher_fixture router({make_upstream("m1", model_pool, 10)});
+        const std::shared_ptr<catalogue> large_memory = make_catalogue(2);
+        large_memory->pools[model_pool].engine->memory = token_count(300000);
+        router.handle(catalogue_read{large_memory, router.now()});
         REQUIRE(router.sent(router.request("/text/1", "key-a", 40000, 1)) != nullptr);
         const session_id late = router.request("/text/1", "key-b", 200, 2);
         router.advance(milliseconds(200));
