Tell callers of an isolated router when to return

Cause: only refusals for load and for a stop stated a time. Change: 100 to 200 ms, spread at random; the connection closes with the answer as before.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -76,6 +76,9 @@
 /// Share of an engine that a fleet with delegates fills, since its reports are older and more routers act on
 /// them.
 constexpr double delegated_capacity_share = 0.8;
+/// Least time after which callers of a router without a fresh view may return; up to twice as much, so that
+/// they do not all meet the next router at once.
+constexpr base::duration isolated_return_time = std::chrono::milliseconds(100);
 /// How long a router watches the store itself after the view of its delegate was too old.
 constexpr base::duration own_watch_time = std::chrono::seconds(1);
 /// How long a router waits for the list of routers before it watches the store: in a large fleet the delegate
@@ -330,10 +333,11 @@
     const route* const matched = catalogue_->match(request.host, request.path);
     if (matched == nullptr) {
         return fresh(now_) ? end_session(created, 404, error_code::unknown_pool)
-                           : end_session(created, 503, error_code::router_isolated);
+                           : refuse_as_isolated(created);
     }
     if (const std::optional<error_code> refusal = check_access(request, *matched)) {
-        return end_session(created, *refusal == error_code::unknown_client_account ? 401 : 503, *refusal);
+        return *refusal == error_code::router_isolated ? refuse_as_isolated(created)
+                                                       : end_session(created, 401, *refusal);
     }
     created.accepted_catalogue = catalogue_;
     created.route = matched;
@@ -370,6 +374,14 @@
     }
 }
 
+/// The caller's connection closes with the answer, and its next one probably leads to another router; without
+/// a time it would wait as long as after a refusal for load.
+void dispatcher::refuse_as_isolated(session& request) {
+    std::uniform_int_distribution<base::duration::rep> spread(0, isolated_return_time.count());
+    end_session(request, 503, error_code::router_isolated,
+                isolated_return_time + base::duration(spread(random_)));
+}
+
 /// While the engines are overloaded, logs how far the service of the accounts is from fair. In a fleet with
 /// delegates these alone do, since all routers know the same sums.
 void dispatcher::log_worst_served_account() {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -698,6 +698,10 @@
     REQUIRE(router.ended(keyed) != nullptr);
     CHECK(router.ended(keyed)->status == 503);
     CHECK(router.ended(keyed)->cause == base::error_code::router_isolated);
+    // The caller is to try another router soon.
+    REQUIRE(router.ended(keyed)->retry_after);
+    CHECK(*router.ended(keyed)->retry_after >= milliseconds(100));
+    CHECK(*router.ended(keyed)->retry_after <= milliseconds(200));
     CHECK(router.sent(router.request("/order/1")) != nullptr);
     router.handle(catalogue_read{nullptr, router.now()});
     CHECK(router.sent(router.request("/text/1", "key-a")) != nullptr);
