Ask a store that is away less often where a delegate reads it

Cause: the pause after failures ended at 0.5 s for every router. A router with a delegate hears of the store's return from that within 0.1 s and needs no attempts of its own.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -977,6 +977,7 @@
                             running >= settings_.peers_wait + peer_list_timeout;
     catalogue_order.watch = size_known && (!follows_delegate || now_ < own_watch_until_);
     catalogue_order.short_wait = delegation_.is_delegate();
+    catalogue_order.has_delegate = follows_delegate;
     catalogue_order.required_position =
         std::max(catalogue_order_.required_position, members_.newest_revision_holder().in_force.value());
     follow_order roster_order = catalogue_order;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -243,12 +243,15 @@
     bool watch = true;
     /// Shorten the wait of each call, since other routers depend on the view.
     bool short_wait = true;
+    /// Another router reads the store for this one as soon as it can, so that attempts to reach it may be
+    /// rarer.
+    bool has_delegate = false;
     /// Version of the configuration, or position of the list of upstreams, that is known to exist and has to
     /// be read.
     std::uint64_t required_position = 0;
 
     friend bool operator==(const follow_order& a, const follow_order& b) {
-        return a.watch == b.watch && a.short_wait == b.short_wait &&
+        return a.watch == b.watch && a.short_wait == b.short_wait && a.has_delegate == b.has_delegate &&
                a.required_position == b.required_position;
     }
 };
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -119,8 +119,11 @@
 }
 
 base::duration follower::next_pause() {
-    const std::uint32_t doublings = std::min(failures_, 5U) - 1;
-    return jittered(std::min(settings_.first_pause * (1U << doublings), settings_.longest_pause), random_);
+    constexpr std::uint32_t max_doublings = 6;
+    const std::uint32_t doublings = std::min(failures_ - 1, max_doublings);
+    const base::duration longest =
+        order_.has_delegate ? settings_.longest_delegated_pause : settings_.longest_pause;
+    return jittered(std::min(settings_.first_pause * (1U << doublings), longest), random_);
 }
 
 void follower::push_event(dispatch::event event) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -30,6 +30,8 @@
     /// Pause after the first failure; doubles with each further one up to `longest_pause`.
     base::duration first_pause = std::chrono::milliseconds(50);
     base::duration longest_pause = std::chrono::milliseconds(500);
+    /// The same while another router reads the store for this one.
+    base::duration longest_delegated_pause = std::chrono::seconds(2);
     /// Initialises the random variation of the pauses.
     std::uint64_t seed = 1;
 };
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -421,14 +421,14 @@
             return store::catalogue_reading{store::position(2), version(version_two_exists ? 2 : 1)};
         }),
         store::follower_links{events, orders}, clock, {});
-    orders.push({false, false, 0}, seconds(1));
+    orders.push({false, false, false, 0}, seconds(1));
     std::thread runner([&] { follower.run(stop); });
     REQUIRE(events.pop(seconds(2)));
     std::this_thread::sleep_for(milliseconds(100));
     const int before = exact;
     CHECK(cheap == 0);
     version_two_exists = true;
-    orders.push({false, false, 2}, seconds(1));
+    orders.push({false, false, false, 2}, seconds(1));
     bool found = false;
     while (!found) {
         const std::optional<dispatch::event> next = events.pop(seconds(3));
@@ -445,6 +445,34 @@
     runner.join();
 }
 
+TEST_CASE("a router with a delegate asks a store that is away less often than one without") {
+    const auto failed_calls = [](bool has_delegate) {
+        base::boot_clock clock;
+        base::ring<dispatch::event> events(64);
+        base::ring<dispatch::follow_order> orders(4);
+        std::atomic<int> calls{0};
+        base::stop_signal stop;
+        store::follower_settings settings;
+        settings.first_pause = milliseconds(1);
+        settings.longest_pause = milliseconds(4);
+        settings.longest_delegated_pause = milliseconds(64);
+        store::catalogue_follower follower(
+            std::make_unique<scripted_directory>([&](int) -> base::result<store::catalogue_reading> {
+                ++calls;
+                return base::failure(base::error_code::store_unavailable, "", "");
+            }),
+            store::follower_links{events, orders}, clock, settings);
+        orders.push({true, false, has_delegate, 0}, seconds(1));
+        std::thread runner([&] { follower.run(stop); });
+        std::this_thread::sleep_for(milliseconds(600));
+        stop.request();
+        follower.interrupt();
+        runner.join();
+        return calls.load();
+    };
+    CHECK(failed_calls(true) * 3 < failed_calls(false));
+}
+
 TEST_CASE("a follower that starts with an outdated answer reads exactly before it awaits changes") {
     base::boot_clock clock;
     base::ring<dispatch::event> events(64);
@@ -466,7 +494,7 @@
     REQUIRE(first);
     CHECK_FALSE(std::get<dispatch::catalogue_read>(*first).requested_at);
     CHECK_FALSE(events.pop(milliseconds(100)));
-    orders.push({true, false, 0}, seconds(1));
+    orders.push({true, false, false, 0}, seconds(1));
     for (int i = 0; i < 2; ++i) {
         const std::optional<dispatch::event> next = events.pop(seconds(2));
         REQUIRE(next);
