Log when a list of upstreams has to be read since updates are missing; fix lint

Cause: an on-call engineer could not tell why a router reads the store beside its delegate; clang-tidy named the padding of the dispatcher and a narrowing conversion in the codec. Change: line list_update_overdue; flags side by side; slots of a received entry are bounded. Measured: clang-tidy clean on the sources that changed, tests built.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -246,8 +246,6 @@
     delegation delegation_;
     /// The list as this router passes it on while it is a delegate.
     list_feed feed_;
-    /// The list has changed since it was last passed on.
-    bool list_changed_ = false;
     base::time_point next_list_update_;
     /// The list as the delegate passes it on.
     list_replica replica_;
@@ -255,8 +253,6 @@
     std::uint64_t reported_list_position_ = 0;
     std::optional<base::time_point> list_behind_since_;
     const base::time_point started_at_;
-    /// The list of routers was read, so that the size of the fleet is known.
-    bool peers_known_ = false;
     /// A confirmation by the delegate of a version that this router does not have yet.
     struct pending_view {
         base::revision version;
@@ -274,6 +270,12 @@
     base::time_point last_share_update_;
     /// A peer has reported changed accounts since the last update of the shares.
     bool news_received_ = false;
+    /// The list of upstreams has changed since it was last passed on.
+    bool list_changed_ = false;
+    /// The list of routers was read, so that the size of the fleet is known.
+    bool peers_known_ = false;
+    /// A crash was recorded since the blocks were updated.
+    bool crash_recorded_ = false;
     base::time_point next_share_line_;
     roster roster_;
     request_limits limits_;
@@ -282,8 +284,6 @@
     admission_table_ptr admission_;
     decision::retry_budget retry_budget_;
     crash_attribution crashes_;
-    /// A crash was recorded since the blocks were updated.
-    bool crash_recorded_ = false;
     base::time_point next_crash_news_;
     std::unordered_map<session_id, session> sessions_;
     std::set<std::pair<base::time_point, session_id>> deadlines_;
--- a/src/dispatch/reporting.cpp
+++ b/src/dispatch/reporting.cpp
@@ -1,5 +1,6 @@
 // Exchange of work reports and of the list of upstreams between the dispatchers of the fleet.
 #include "base/hash.h"
+#include "base/log.h"
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
@@ -62,7 +63,17 @@
         return 0;
     }
     list_behind_since_ = list_behind_since_.value_or(now_);
-    return now_ - *list_behind_since_ >= list_update_timeout ? reported_list_position_ : 0;
+    if (now_ - *list_behind_since_ < list_update_timeout) {
+        return 0;
+    }
+    if (roster_order_.required_position < reported_list_position_) {
+        base::log_event(base::log_level::info, "dispatcher", "list_update_overdue",
+                        {{"delegate", delegation_.delegate().value()},
+                         {"position", roster_position_},
+                         {"reported_position", reported_list_position_},
+                         {"version", replica_.version(delegation_.delegate())}});
+    }
+    return reported_list_position_;
 }
 
 base::time_point dispatcher::list_updates_due() const {
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -31,6 +31,7 @@
 constexpr std::size_t max_list_entries = max_datagram_bytes / 4;
 /// Parts of one update of the list of upstreams: enough for a list of several thousand.
 constexpr std::uint32_t max_update_parts = 1024;
+constexpr std::uint32_t max_slots = 1'000'000;
 constexpr unsigned varint_bits = 7;
 constexpr std::uint8_t varint_continuation = 0x80;
 
@@ -780,7 +781,11 @@
     read(in, entry.pool);
     read(in, entry.address);
     read(in, entry.data_centre);
-    entry.slots = base::slot_count(read_bounded<std::uint32_t>(in));
+    const std::uint32_t slots = read_bounded<std::uint32_t>(in);
+    if (slots > max_slots) {
+        fail_malformed("number of slots is out of range");
+    }
+    entry.slots = base::slot_count(static_cast<std::int32_t>(slots));
     read_enum(in, entry.phase, decision::upstream_phase::draining);
     std::uint64_t started_ms = 0;
     read(in, started_ms);
