--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -4,6 +4,7 @@
 #include "base/unit.h"
 #include "decision/config.h"
 #include "decision/request.h"
+#include "decision/upstreams.h"
 
 #include <cstdint>
 #include <optional>
@@ -276,10 +277,26 @@
     /// In an answer to a report: the sequence number of the last message with a report of the receiver; zero
     /// otherwise.
     std::uint64_t acknowledged_sequence = 0;
-    /// Store position at which the list of upstreams last changed for the sender; zero if unknown.
+    /// In an aggregated report: the store position at which the list of upstreams last changed for the
+    /// sender. In a report to a delegate: the version of that delegate's list that the sender has. Zero if
+    /// there is none.
     std::uint64_t upstreams_position = 0;
 };
 
+/// Changes of the list of upstreams that a delegate passes on, or one of several parts of them.
+struct upstream_list_update {
+    /// Version of the sender's list to which the changes apply; zero if they are the whole list.
+    std::uint64_t base_version = 0;
+    /// Version after the changes. Versions count the changes that one process of the sender has made.
+    std::uint64_t version = 0;
+    /// Number of this part, from zero on, and of all parts. They count only together.
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
+    /// Store position at which the list last changed for the sender.
+    std::uint64_t store_position = 0;
+    std::vector<list_change> changes;
+};
+
 /// Limit of its request rate that an upstream stated.
 struct stated_limit {
     base::upstream_id upstream;
@@ -307,9 +324,9 @@
     bool aggregated = false;
 };
 
-using message =
-    std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim, claim_result,
-                 settle, settle_ack, crash_report, work_report, crash_news, limit_report>;
+using message = std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim,
+                             claim_result, settle, settle_ack, crash_report, work_report, crash_news,
+                             limit_report, upstream_list_update>;
 
 /// Virtual time of a pool.
 struct pool_time {
--- a/src/decision/router.h
+++ b/src/decision/router.h
@@ -113,6 +113,7 @@
     void receive(const message_header& header, const work_report& body);
     void receive(const message_header& header, const crash_news& body);
     void receive(const message_header& header, const limit_report& body);
+    void receive(const message_header& header, const upstream_list_update& body);
 
     /// Returns the reason why new requests are refused, or nothing if they are accepted.
     [[nodiscard]] std::optional<base::error> refusal_reason() const;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -78,6 +78,11 @@
 constexpr double delegated_capacity_share = 0.8;
 /// How long a router watches the store itself after the view of its delegate was too old.
 constexpr base::duration own_watch_time = std::chrono::seconds(1);
+/// How long a router waits for the list of routers before it watches the store: in a large fleet the delegate
+/// does that.
+constexpr base::duration peer_list_timeout = std::chrono::milliseconds(300);
+/// Interval at which the orders to the followers are repeated, for a follower that has restarted.
+constexpr base::duration order_repeat_interval = std::chrono::seconds(1);
 /// Share of the fleet's retry budget that the routers use together; the rest covers routers that join and
 /// leave.
 constexpr double retry_budget_share = 0.8;
@@ -164,7 +169,8 @@
 
 dispatcher::dispatcher(const dispatcher_settings& settings, base::time_point now)
     : settings_(settings), bounds_(settings.bounds), now_(now), members_(settings.member, now),
-      delegation_(settings.member.self, settings.data_centre, settings.cpu_cores), limits_(settings.seed),
+      delegation_(settings.member.self, settings.data_centre, settings.cpu_cores),
+      feed_(settings.member.incarnation), started_at_(now), limits_(settings.seed),
       placement_(settings.data_centre, settings.seed, limits_),
       retry_budget_({settings.bounds.retry_ratio * retry_budget_share, 0}), next_report_(now),
       next_queue_pass_(now), random_(settings.seed) {
@@ -232,6 +238,9 @@
         send_limits();
         next_report_ = now + bounds_.report_interval;
     }
+    if (now >= list_updates_due()) {
+        send_list_updates();
+    }
     if (now >= next_queue_pass_) {
         serve_queues();
         next_queue_pass_ = now + min_queue_pass_interval;
@@ -240,7 +249,7 @@
 }
 
 base::time_point dispatcher::next_due() const {
-    base::time_point due = std::min({members_.next_due(), next_report_, news_due()});
+    base::time_point due = std::min({members_.next_due(), next_report_, news_due(), list_updates_due()});
     if (!deadlines_.empty()) {
         due = std::min(due, deadlines_.begin()->first);
     }
@@ -832,11 +841,15 @@
 }
 
 void dispatcher::on(const roster_read& reading) {
-    roster_position_ = std::max(roster_position_, reading.store_position);
     if (reading.requested_at) {
         roster_confirmed_at_ =
             std::max(roster_confirmed_at_.value_or(*reading.requested_at), *reading.requested_at);
     }
+    // An outdated answer must not restore upstreams whose removal the delegate has passed on.
+    if (reading.store_position < roster_position_) {
+        return;
+    }
+    roster_position_ = reading.store_position;
     std::map<base::upstream_id, std::int64_t> listed_starts;
     for (const upstream_entry& entry : reading.entries) {
         listed_starts.emplace(entry.id, entry.started_ms);
@@ -868,10 +881,6 @@
     }
     roster_.apply(reading.changes, now_);
     apply_roster();
-    if (delegation_.is_delegate()) {
-        next_aggregated_report_ = now_;
-        send_aggregated_reports();
-    }
 }
 
 void dispatcher::apply_roster() {
@@ -884,10 +893,15 @@
     placement_.set_roster(roster_);
     limits_.set_roster(roster_);
     queue_changed_ = true;
+    list_changed_ = true;
 }
 
 void dispatcher::on(const peers_read& reading) {
     members_.update_vm_list(reading.peers, now_);
+    if (!std::exchange(peers_known_, true)) {
+        delegation_.update(members_.members(), now_);
+        update_follow_orders();
+    }
 }
 
 void dispatcher::on(const decision::message_received& received) {
@@ -912,6 +926,8 @@
         receive_crash_news(*news);
     } else if (std::holds_alternative<decision::limit_report>(received.payload.body)) {
         receive_limits(received.payload);
+    } else if (std::holds_alternative<decision::upstream_list_update>(received.payload.body)) {
+        receive_list_update(received.payload);
     }
 }
 
@@ -919,6 +935,7 @@
     placement_.drop_peer(peer);
     fair_share_.drop_peer(peer);
     limits_.drop_peer(peer);
+    feed_.remove_reporter(peer);
 }
 
 /// Records that `version` was confirmed to be the newest one at `confirmed_at`; pending until this router has
@@ -943,22 +960,29 @@
         own_watch_until_ = now_ + own_watch_time;
     }
     follow_order catalogue_order;
-    catalogue_order.watch = !follows_delegate || now_ < own_watch_until_;
+    const base::duration running = now_ - started_at_;
+    const bool size_known = (peers_known_ && running >= settings_.peers_wait) ||
+                            running >= settings_.peers_wait + peer_list_timeout;
+    catalogue_order.watch = size_known && (!follows_delegate || now_ < own_watch_until_);
     catalogue_order.short_wait = delegation_.is_delegate();
     catalogue_order.required_position =
         std::max(catalogue_order_.required_position, members_.newest_revision_holder().in_force.value());
     follow_order roster_order = catalogue_order;
-    roster_order.required_position = roster_order_.required_position;
+    roster_order.required_position = std::max(roster_order_.required_position, overdue_list_position());
     if (catalogue_order.watch != catalogue_order_.watch) {
         base::log_event(log_level::info, "dispatcher",
                         catalogue_order.watch ? "watching_store" : "following_delegate",
                         {{"delegate", delegation_.delegate().value()},
                          {"age_ms", catalogue_confirmed_at_ ? to_ms(now_ - *catalogue_confirmed_at_) : -1}});
     }
-    if (!(catalogue_order == catalogue_order_)) {
+    const bool repeat = now_ >= next_order_repeat_;
+    if (repeat) {
+        next_order_repeat_ = now_ + order_repeat_interval;
+    }
+    if (repeat || !(catalogue_order == catalogue_order_)) {
         output_.catalogue_order = catalogue_order_ = catalogue_order;
     }
-    if (!(roster_order == roster_order_)) {
+    if (repeat || !(roster_order == roster_order_)) {
         output_.roster_order = roster_order_ = roster_order;
     }
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "dispatch/delegation.h"
 #include "dispatch/drain.h"
 #include "dispatch/event.h"
+#include "dispatch/feed.h"
 #include "dispatch/placement.h"
 #include "dispatch/share.h"
 
@@ -30,6 +31,8 @@
     base::data_centre_id data_centre;
     /// Processor time of this VM, in cores.
     double cpu_cores = 1;
+    /// Time after the start during which the list of routers still grows, since the whole fleet starts.
+    base::duration peers_wait{};
     dispatcher_bounds bounds;
     std::uint64_t seed = 1;
 };
@@ -207,6 +210,14 @@
     void send_to(const base::vm_id& to, decision::message body);
     void receive_report(const decision::envelope& received);
     void receive_limits(const decision::envelope& received);
+    void receive_list_update(const decision::envelope& received);
+    void send_list_updates();
+    void send_list_updates_to(const base::vm_id& reporter);
+    /// When a changed list of upstreams is to be passed on.
+    [[nodiscard]] base::time_point list_updates_due() const;
+    /// Position of the list of upstreams that this router has to read from the store, since the delegate has
+    /// not passed on the changes in time.
+    [[nodiscard]] std::uint64_t overdue_list_position();
     /// Returns true if the sender is not one whose aggregated reports this router takes.
     [[nodiscard]] bool foreign_aggregate(const base::vm_id& from, bool aggregated) const;
     void drop_peer(const base::vm_id& peer);
@@ -232,6 +243,19 @@
     /// Position of the store at which the list of upstreams last changed.
     std::uint64_t roster_position_ = 0;
     delegation delegation_;
+    /// The list as this router passes it on while it is a delegate.
+    list_feed feed_;
+    /// The list has changed since it was last passed on.
+    bool list_changed_ = false;
+    base::time_point next_list_update_;
+    /// The list as the delegate passes it on.
+    list_replica replica_;
+    /// Newest position of the list that the delegate has reported, and since when this router lacks it.
+    std::uint64_t reported_list_position_ = 0;
+    std::optional<base::time_point> list_behind_since_;
+    const base::time_point started_at_;
+    /// The list of routers was read, so that the size of the fleet is known.
+    bool peers_known_ = false;
     /// A confirmation by the delegate of a version that this router does not have yet.
     struct pending_view {
         base::revision version;
@@ -242,6 +266,7 @@
     base::time_point delegate_confirmed_at_;
     follow_order catalogue_order_;
     follow_order roster_order_;
+    base::time_point next_order_repeat_;
     /// Until when this router watches the store itself although it has a delegate.
     base::time_point own_watch_until_;
     base::time_point next_aggregated_report_;
--- a/src/dispatch/reporting.cpp
+++ b/src/dispatch/reporting.cpp
@@ -1,4 +1,4 @@
-// Exchange of work reports between the dispatchers of the fleet.
+// Exchange of work reports and of the list of upstreams between the dispatchers of the fleet.
 #include "base/hash.h"
 #include "dispatch/dispatcher.h"
 
@@ -17,6 +17,11 @@
 /// this time for each of its reporters, which bounds its datagrams to 4,000 a second.
 constexpr base::duration urgent_news_interval = std::chrono::milliseconds(5);
 constexpr base::duration reporter_news_time = std::chrono::microseconds(250);
+/// Shortest interval at which a delegate passes on changes of the list of upstreams.
+constexpr base::duration list_update_interval = std::chrono::milliseconds(20);
+/// How long a router waits for changes that its delegate knows before it reads the store. It covers a lost
+/// update and its repetition.
+constexpr base::duration list_update_timeout = std::chrono::milliseconds(700);
 
 } // namespace
 
@@ -27,9 +32,12 @@
     if (foreign_aggregate(from, report.aggregated)) {
         return;
     }
-    if (delegation_.is_delegate() && !report.aggregated &&
-        delegation_.record_reporter(from, received.header.sequence, now_)) {
-        send_cached_parts(from);
+    if (delegation_.is_delegate() && !report.aggregated) {
+        if (delegation_.record_reporter(from, received.header.sequence, now_)) {
+            send_cached_parts(from);
+        }
+        feed_.record_report(from, report.upstreams_position);
+        send_list_updates_to(from);
     }
     const forward_scope scope =
         report.aggregated ? forward_scope::own_data_centre : forward_scope::everywhere;
@@ -45,17 +53,68 @@
     if (sent_at && received.header.confirmation_age != decision::never_confirmed) {
         confirm_version(received.header.in_force, *sent_at - received.header.confirmation_age);
     }
-    if (report.upstreams_position > roster_order_.required_position) {
-        roster_order_.required_position = report.upstreams_position;
-        output_.roster_order = roster_order_;
+    reported_list_position_ = std::max(reported_list_position_, report.upstreams_position);
+}
+
+std::uint64_t dispatcher::overdue_list_position() {
+    if (reported_list_position_ <= roster_position_) {
+        list_behind_since_.reset();
+        return 0;
+    }
+    list_behind_since_ = list_behind_since_.value_or(now_);
+    return now_ - *list_behind_since_ >= list_update_timeout ? reported_list_position_ : 0;
+}
+
+base::time_point dispatcher::list_updates_due() const {
+    return list_changed_ && delegation_.is_delegate() ? next_list_update_ : base::time_point::max();
+}
+
+void dispatcher::send_list_updates() {
+    next_list_update_ = now_ + list_update_interval;
+    for (const auto& [reporter, sequence] : delegation_.reporters(now_)) {
+        send_list_updates_to(reporter);
+    }
+}
+
+void dispatcher::send_list_updates_to(const base::vm_id& reporter) {
+    if (std::exchange(list_changed_, false)) {
+        feed_.update(roster_.entries(), roster_position_);
+    }
+    for (decision::upstream_list_update& update : feed_.updates_for(reporter, now_)) {
+        send_to(reporter, std::move(update));
+    }
+}
+
+/// Applies what the delegate passes on, unless this router has read a newer list itself.
+void dispatcher::receive_list_update(const decision::envelope& received) {
+    if (delegation_.is_delegate() || received.header.sender != delegation_.delegate()) {
+        return;
+    }
+    std::optional<received_list_change> change =
+        replica_.receive(received.header.sender, received.header.incarnation,
+                         std::get<decision::upstream_list_update>(received.body));
+    if (!change || change->store_position < roster_position_) {
+        return;
+    }
+    if (!change->whole_list) {
+        return on(roster_changed{std::move(change->changes), change->store_position, std::nullopt});
+    }
+    roster_read whole;
+    whole.store_position = change->store_position;
+    for (upstream_change& listed : change->changes) {
+        if (listed.entry) {
+            whole.entries.push_back(std::move(*listed.entry));
+        }
     }
+    on(whole);
 }
 
 void dispatcher::send_report() {
     if (delegation_.is_delegate()) {
         return send_aggregated_reports();
     }
-    const decision::work_report report{placement_.own_work(now_), fair_share_.own_work(now_), false, 0, 0};
+    const decision::work_report report{placement_.own_work(now_), fair_share_.own_work(now_), false, 0,
+                                       replica_.version(delegation_.delegate())};
     if (delegation_.needed()) {
         send_to(delegation_.delegate(), report);
         delegation_.record_sent_report(sequence_, now_);
@@ -110,7 +169,9 @@
     if (!delegation_.is_delegate()) {
         std::vector<decision::account_work> news = fair_share_.take_own_news(now_);
         if (!news.empty()) {
-            send_to(delegation_.delegate(), decision::work_report{{}, std::move(news), false, 0, 0});
+            send_to(delegation_.delegate(),
+                    decision::work_report{
+                        {}, std::move(news), false, 0, replica_.version(delegation_.delegate())});
             delegation_.record_sent_report(sequence_, now_);
         }
         return;
--- a/src/dispatch/roster.h
+++ b/src/dispatch/roster.h
@@ -3,38 +3,17 @@
 #include "base/clock.h"
 #include "base/id.h"
 #include "base/unit.h"
-#include "decision/config.h"
+#include "decision/upstreams.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <string>
 #include <vector>
 
 namespace bluebell::dispatch {
 
-/// Phase of an upstream; only a ready one gets new work.
-enum class upstream_phase { ready, draining };
-
-/// Entry by which an upstream registers itself in the store.
-struct upstream_entry {
-    base::upstream_id id;
-    base::pool_id pool;
-    decision::endpoint address;
-    base::data_centre_id data_centre;
-    base::slot_count slots{1};
-    upstream_phase phase = upstream_phase::ready;
-    /// Start time of the upstream process in ms; distinguishes a restarted upstream, which may keep its id,
-    /// from the earlier process.
-    std::int64_t started_ms = 0;
-};
-
-/// One change of the list of upstreams. `entry` is empty if the upstream is gone, or if its new entry is not
-/// readable.
-struct upstream_change {
-    base::upstream_id id;
-    std::optional<upstream_entry> entry;
-};
+using upstream_change = decision::list_change;
+using decision::upstream_entry;
+using decision::upstream_phase;
 
 /// List of the upstreams that the store shows. Their entries in the store expire during an outage of the
 /// store.
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -59,7 +59,7 @@
                 {base::error_code::worker_failed, "dispatcher", "the relay takes no orders"});
         }
     }
-    // The ring is closed while the follower restarts; a new follower watches until an order states otherwise.
+    // The ring is closed while the follower restarts; orders are repeated.
     if (output.catalogue_order) {
         links_.catalogue_orders.try_push(std::move(*output.catalogue_order));
     }
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t max_acknowledgement_bytes = 256; // 2,048 members
 /// A datagram cannot hold more entries, because each takes at least four bytes.
 constexpr std::size_t max_list_entries = max_datagram_bytes / 4;
+/// Parts of one update of the list of upstreams: enough for a list of several thousand.
+constexpr std::uint32_t max_update_parts = 1024;
 constexpr unsigned varint_bits = 7;
 constexpr std::uint8_t varint_continuation = 0x80;
 
@@ -765,6 +767,62 @@
     });
 }
 
+void write(output_archive& out, const decision::upstream_entry& entry) {
+    write(out, entry.pool);
+    write(out, entry.address);
+    write(out, entry.data_centre);
+    write(out, static_cast<std::uint64_t>(entry.slots.value()));
+    write_enum(out, entry.phase);
+    write(out, static_cast<std::uint64_t>(entry.started_ms));
+}
+
+void read(input_archive& in, decision::upstream_entry& entry) {
+    read(in, entry.pool);
+    read(in, entry.address);
+    read(in, entry.data_centre);
+    entry.slots = base::slot_count(read_bounded<std::uint32_t>(in));
+    read_enum(in, entry.phase, decision::upstream_phase::draining);
+    std::uint64_t started_ms = 0;
+    read(in, started_ms);
+    entry.started_ms = static_cast<std::int64_t>(started_ms);
+}
+
+void write(output_archive& out, const decision::upstream_list_update& body) {
+    write(out, body.base_version);
+    write(out, body.version);
+    write(out, std::uint64_t{body.part});
+    write(out, std::uint64_t{body.parts});
+    write(out, body.store_position);
+    write_list(out, body.changes, [&out](const decision::list_change& change) {
+        write(out, change.id);
+        write(out, change.entry.has_value());
+        if (change.entry) {
+            write(out, *change.entry);
+        }
+    });
+}
+
+void read(input_archive& in, decision::upstream_list_update& body) {
+    read(in, body.base_version);
+    read(in, body.version);
+    body.part = read_bounded<std::uint32_t>(in);
+    body.parts = read_bounded<std::uint32_t>(in);
+    read(in, body.store_position);
+    read_list(in, body.changes, max_list_entries, [&in](decision::list_change& change) {
+        bool listed = false;
+        read(in, change.id);
+        read(in, listed);
+        if (listed) {
+            change.entry.emplace();
+            change.entry->id = change.id;
+            read(in, *change.entry);
+        }
+    });
+    if (body.part >= body.parts || body.parts > max_update_parts || body.version < body.base_version) {
+        fail_malformed("update has an impossible part or version");
+    }
+}
+
 // Header.
 
 void write(output_archive& out, const decision::message_header& header) {
@@ -877,8 +935,9 @@
     bool operator()(decision::usage& body) const { return split_entries(body); }
     bool operator()(decision::usage_total& body) const { return split_entries(body); }
     bool operator()(decision::work_report& body) const {
+        // The second part acknowledges no report, since that would count twice.
         decision::work_report rest{split_half(body.upstreams), split_half(body.accounts), body.aggregated, 0,
-                                   0};
+                                   body.upstreams_position};
         const bool divided = !rest.upstreams.empty() || !rest.accounts.empty();
         rest_ = std::move(rest);
         return divided;
@@ -919,10 +978,23 @@
 } // namespace
 
 std::string_view message_kind_name(std::size_t kind) {
-    constexpr std::array<std::string_view, message_kind_count> names{
-        "ping",         "ack",         "ping_request", "bid",          "grant",  "release",
-        "usage",        "usage_total", "claim",        "claim_result", "settle", "settle_ack",
-        "crash_report", "work_report", "crash_news",   "limit_report"};
+    constexpr std::array<std::string_view, message_kind_count> names{"ping",
+                                                                     "ack",
+                                                                     "ping_request",
+                                                                     "bid",
+                                                                     "grant",
+                                                                     "release",
+                                                                     "usage",
+                                                                     "usage_total",
+                                                                     "claim",
+                                                                     "claim_result",
+                                                                     "settle",
+                                                                     "settle_ack",
+                                                                     "crash_report",
+                                                                     "work_report",
+                                                                     "crash_news",
+                                                                     "limit_report",
+                                                                     "upstream_list_update"};
     return names.at(kind);
 }
 
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -35,6 +35,8 @@
 /// read the store themselves. A view ages by up to two waiting calls of the delegate, plus the round trip of
 /// a report.
 constexpr double delegate_share = 0.75;
+/// Longest wait of a delegate's calls for a change, as a fraction of the drain bound.
+constexpr double delegate_wait_share = 0.25;
 /// Descriptors kept for the store, logs, datagrams and connections to upstreams; the rest is for callers.
 constexpr std::int64_t reserved_descriptors = 1200;
 /// The bodies of requests in progress may take up to the process memory divided by this number.
@@ -78,6 +80,10 @@
                        "time from the signal to stop until the process is killed"),
         ranged_setting("schedule", "report_interval", setting_type::time_span, "100ms", "20ms", "5s",
                        "interval of the reports of work in progress to the other routers"),
+        ranged_setting(
+            "schedule", "peers_wait", setting_type::time_span, "0ms", "0ms", "10s",
+            "how long after the start the list of routers still grows, since all start at once; in a "
+            "large fleet a router watches the store only if it finds no delegate until then"),
         base::log_level_setting(),
     };
 }
@@ -105,6 +111,7 @@
     result.drain = values.time("bounds", "drain");
     result.stop_limit = values.time("bounds", "stop");
     result.report_interval = values.time("schedule", "report_interval");
+    result.peers_wait = values.time("schedule", "peers_wait");
     result.log = base::log_level_of(values.text("log", "level"));
     return result;
 }
@@ -128,7 +135,7 @@
         return std::tie(settings.vm, settings.data_centre, settings.fleet, settings.callers, settings.ops,
                         settings.ready_path, settings.control, settings.store, settings.store_timeout,
                         settings.catalogue_wait, settings.roster_wait, settings.memory, settings.descriptors,
-                        settings.processor, settings.connect_timeout);
+                        settings.processor, settings.connect_timeout, settings.peers_wait);
     };
     return fixed_settings(current) == fixed_settings(updated);
 }
@@ -186,8 +193,10 @@
     self.cpu_cores = settings_.processor;
     store::follower_settings catalogue;
     catalogue.wait = settings_.catalogue_wait;
+    catalogue.short_wait = std::chrono::duration_cast<base::duration>(settings_.drain * delegate_wait_share);
+    catalogue.exact_start = false;
     catalogue.seed = system_seed();
-    store::follower_settings roster;
+    store::follower_settings roster = catalogue;
     roster.wait = settings_.roster_wait;
     roster.seed = system_seed();
     std::unique_ptr<base::supervisor> supervisor = make_subtree("store");
@@ -248,6 +257,7 @@
     dispatcher.member.seed = system_seed();
     dispatcher.data_centre = settings_.data_centre;
     dispatcher.cpu_cores = settings_.processor;
+    dispatcher.peers_wait = settings_.peers_wait;
     dispatcher.bounds = to_bounds(*current);
     dispatcher.seed = system_seed();
     return dispatcher;
--- a/src/root/node.h
+++ b/src/root/node.h
@@ -53,6 +53,8 @@
     /// Retries of the fleet that a pool may have beyond `retry_ratio`.
     double retry_slack = 0;
     base::duration report_interval{};
+    /// Time after the start during which the list of routers still grows.
+    base::duration peers_wait{};
     /// Time from the signal to stop until the process is killed.
     base::duration stop_limit{};
     /// Longest time for which a departing upstream still gets new work.
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -65,6 +65,8 @@
         links_.orders.reopen();
     }
     order_ = {};
+    order_.watch = settings_.exact_start;
+    exact_read_ = false;
     while (!stop.requested()) {
         receive_orders(base::duration::zero());
         const bool idle = current && !order_.watch;
@@ -73,10 +75,12 @@
             continue;
         }
         const bool outage = failing_since_ && now() - *failing_since_ >= short_outage;
-        base::result<position> result = idle      ? refresh(*current)
-                                        : current ? await(*current)
-                                                  : read(outage, true);
+        const bool exact = order_.watch || settings_.exact_start;
+        base::result<position> result = idle                     ? refresh(*current)
+                                        : current && exact_read_ ? await(*current)
+                                                                 : read(outage, exact);
         if (result) {
+            exact_read_ = exact_read_ || (!idle && exact);
             if (failing_since_) {
                 base::log_event(
                     base::log_level::info, name(), "store_regained",
@@ -206,9 +210,9 @@
     while (!stop.requested()) {
         announced_ = announced_ || announce();
         const bool starting = reads < start_reads;
-        // The first and the last read of the start are exact; those between them may be inexact.
-        const bool exact = reads == 0 || reads == start_reads - 1;
-        base::result<std::vector<decision::vm_entry>> peers = source_->read_routers(exact);
+        // The first read comes after this router's own entry. If it is exact, of two routers that start
+        // together one sees the other, and gossip does the rest.
+        base::result<std::vector<decision::vm_entry>> peers = source_->read_routers(reads == 0);
         if (peers) {
             events_.push(dispatch::peers_read{std::move(*peers)}, ring_timeout);
             reads += announced_ && starting ? 1 : 0;
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -23,6 +23,10 @@
 struct follower_settings {
     /// Longest wait of one call for a change. It bounds the age of the view while nothing changes.
     base::duration wait = std::chrono::seconds(1);
+    /// The same while other routers depend on the view.
+    base::duration short_wait = std::chrono::milliseconds(500);
+    /// Make the first read an exact one, and watch until an order states otherwise.
+    bool exact_start = true;
     /// Pause after the first failure; doubles with each further one up to `longest_pause`.
     base::duration first_pause = std::chrono::milliseconds(50);
     base::duration longest_pause = std::chrono::milliseconds(500);
@@ -58,10 +62,8 @@
     [[nodiscard]] base::time_point now() const { return clock_.now(); }
     /// Returns the longest wait of the next call for a change.
     [[nodiscard]] base::duration wait() const {
-        return order_.short_wait ? short_wait_limit : settings_.wait;
+        return order_.short_wait ? settings_.short_wait : settings_.wait;
     }
-    /// Longest wait of a call while other routers depend on the view.
-    static constexpr base::duration short_wait_limit = std::chrono::milliseconds(500);
     /// Returns the newest version or position read so far, in the unit of `follow_order::required_position`.
     [[nodiscard]] std::uint64_t newest_read() const { return newest_read_; }
     /// Records that the view contains this version or position.
@@ -83,6 +85,8 @@
     const follower_settings settings_;
     dispatch::follow_order order_;
     std::uint64_t newest_read_ = 0;
+    /// All objects were read exactly, so that changes can be awaited from there.
+    bool exact_read_ = false;
     std::uint32_t stale_reads_ = 0;
     std::mt19937_64 random_;
     std::uint32_t failures_ = 0;
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -445,6 +445,42 @@
     runner.join();
 }
 
+TEST_CASE("a follower that starts with an outdated answer reads exactly before it awaits changes") {
+    base::boot_clock clock;
+    base::ring<dispatch::event> events(64);
+    base::ring<dispatch::follow_order> orders(4);
+    std::vector<std::string> calls;
+    base::stop_signal stop;
+    store::follower_settings settings;
+    settings.exact_start = false;
+    const std::shared_ptr<dispatch::catalogue> catalogue = std::make_shared<dispatch::catalogue>();
+    store::catalogue_follower follower(
+        std::make_unique<scripted_directory>([&](int call) -> base::result<store::catalogue_reading> {
+            // Inexact reads have negative numbers; the second of the others awaits a change.
+            calls.emplace_back(call < 0 ? "inexact" : call == 1 ? "exact" : "await");
+            return store::catalogue_reading{store::position(1), catalogue};
+        }),
+        store::follower_links{events, orders}, clock, settings);
+    std::thread runner([&] { follower.run(stop); });
+    const std::optional<dispatch::event> first = events.pop(seconds(2));
+    REQUIRE(first);
+    CHECK_FALSE(std::get<dispatch::catalogue_read>(*first).requested_at);
+    CHECK_FALSE(events.pop(milliseconds(100)));
+    orders.push({true, false, 0}, seconds(1));
+    for (int i = 0; i < 2; ++i) {
+        const std::optional<dispatch::event> next = events.pop(seconds(2));
+        REQUIRE(next);
+        CHECK(std::get<dispatch::catalogue_read>(*next).requested_at);
+    }
+    stop.request();
+    follower.interrupt();
+    runner.join();
+    REQUIRE(calls.size() >= 3);
+    CHECK(calls[0] == "inexact");
+    CHECK(calls[1] == "exact");
+    CHECK(calls[2] == "await");
+}
+
 TEST_CASE("an answer of the store that never ends is not kept until the deadline") {
     constexpr std::size_t sent_bytes = std::size_t{256} << 20U;
     const std::string head = "HTTP/1.1 200 OK\r\n";
