--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,6 +11,7 @@
 
 SITE = "stafett-prod"
 ZONES = SITES[SITE]["zones"]
+WORKERS = 6  # one that crashes is a share of 0.167
 BODY_BYTES = 4194304  # max_body_bytes of the configuration
 ANSWER_BYTES = 4 * len(b"part 1 of 4: \n") + 4 * 185
 CONFIG = {
@@ -34,9 +35,9 @@
             worker.process.stdin.write((json.dumps({"crash_after_part": crashes.pop()}) + "\n").encode())
             worker.process.stdin.flush()
 
-    for zone in ZONES:
-        Worker(stage, store, os.path.join(FOLDER, "service.py"), "i-" + zone, "counter", zone, 6, on_event,
-               stdin=subprocess.PIPE)
+    for number in range(WORKERS):
+        Worker(stage, store, os.path.join(FOLDER, "service.py"), "i-%d" % number, "counter", ZONES[number % 3], 6,
+               on_event, stdin=subprocess.PIPE)
     router = Router(stage, SITE, "edge-oslo-a-1", "oslo-a", store.port)
     router.wait_ready()
     time.sleep(0.5)
