--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,8 +13,12 @@
 ZONES = SITES[SITE]["zones"]
 ENGINES = 18
 EVENTS = 40
-# Events in which the first, second and third worker of the stream crash: 3 of 18 workers, a share of 0.167.
-CRASHES = [7, 13, 13]
+# Ids of the attempts of the client: those that begin the stream, and those that resume it.
+BEGINNING = ["9c41d07be2a35f6%d" % number for number in range(8)]
+RESUMING = ["17b2e0c94dd5a0f%d" % number for number in range(8)]
+# Events in which the first two workers of the stream crash. A third one crashes in the first event after it was
+# resumed by the client. That makes 3 of 18 workers, a share of 0.167.
+FIRST_CRASHES = [7, 13]
 CONFIG = {
     "version": 1,
     "routes": [{"name": "report", "host": "survey.example", "path_prefix": "/report/", "route_type": "streaming",
@@ -38,15 +42,21 @@
 def case(stage):
     store = Store(stage)
     store.put("config", "main", CONFIG)
-    crashes = list(CRASHES) if stage.trouble else []
+    first_crashes = list(FIRST_CRASHES) if stage.trouble else []
+    last_crashes = [1] if stage.trouble else []
+
+    def crash_in_event(event):
+        """Returns the event in which the worker that has just begun is to crash; zero for none."""
+        if event["attempt"] in BEGINNING:
+            return first_crashes.pop(0) if first_crashes else 0
+        return int(event["last_event_id"] or 0) + last_crashes.pop() if last_crashes else 0
 
     def on_event(worker, event):
         stage.note("worker " + event.pop("what"), worker=worker.name, **event)
         if "last_event_id" in event:
-            if crashes:
-                order = {"crash_in_event": crashes.pop(0)}
-                worker.process.stdin.write((json.dumps(order) + "\n").encode())
-                worker.process.stdin.flush()
+            order = {"crash_in_event": crash_in_event(event)}
+            worker.process.stdin.write((json.dumps(order) + "\n").encode())
+            worker.process.stdin.flush()
 
     for number in range(ENGINES):
         Worker(stage, store, os.path.join(FOLDER, "engine.py"), "i-%02d" % number, "writers", ZONES[number % 3], 48,
@@ -56,7 +66,16 @@
         router.wait_ready()
     time.sleep(4)  # the routers have confirmed the configuration
 
-    def ask(router, attempt, last):
+    def ask(router, attempts, last):
+        """Sends the request until it is not refused; each time with another id, as clients do after a 503."""
+        for attempt in attempts:
+            answer, numbers = ask_once(router, attempt, last)
+            if answer.status != 503:
+                return answer, numbers
+            time.sleep(0.5)
+        raise CannotRun("the request is refused each time")
+
+    def ask_once(router, attempt, last):
         fields = [("Host", "survey.example"), ("X-Attempt-Id", attempt), ("X-Model", "m"),
                   ("X-Token-Usage", "826,300"), ("X-Prefix-Hash", "5c1e07a2:119,91bd3f06:79,e4402b7d:628"),
                   ("X-Deadline-Ms", "15000"), ("Authorization", "Bearer key-of-district-a")]
@@ -72,7 +91,7 @@
                    end=answer.end)
         return answer, numbers
 
-    answer, numbers = ask(routers[0], "9c41d07be2a35f68", 0)
+    answer, numbers = ask(routers[0], BEGINNING, 0)
     if answer.status != 200:
         raise CannotRun("the first attempt gets no stream")
     if numbers != list(range(1, len(numbers) + 1)):
@@ -80,7 +99,7 @@
     if answer.complete:
         return HELD if len(numbers) == EVENTS else BROKEN
     last = numbers[-1]
-    answer, resumed = ask(routers[1], "17b2e0c94dd5a0f3", last)
+    answer, resumed = ask(routers[1], RESUMING, last)
     if answer.status != 200:
         raise CannotRun("the second attempt gets no stream")
     repeated = [number for number in resumed if number <= last]
--- a/review/2/engine.py
+++ b/review/2/engine.py
@@ -1,5 +1,6 @@
 """A model worker: streams numbered events, goes on after `Last-Event-Id`, and crashes on order inside an event."""
 import os
+import queue
 import sys
 import time
 
@@ -14,14 +15,15 @@
 class Engine(HttpWorker):
     def __init__(self):
         super().__init__()
-        self.crash_in_event = 0
+        self.orders = queue.Queue()
 
     def order(self, document):
-        self.crash_in_event = document["crash_in_event"]
+        self.orders.put(document["crash_in_event"])
 
     def run(self, request):
         after = request.fields.get("last-event-id")
         report("begins", attempt=request.fields.get("x-attempt-id"), last_event_id=after)
+        crash_in_event = self.orders.get()  # 0 for no crash
         time.sleep(PREFILL_S)
         request.connection.sendall(self.head("200 OK", request) + b"Content-Type: text/event-stream\r\n"
                                    b"Transfer-Encoding: chunked\r\n\r\n")
@@ -30,7 +32,7 @@
             half = len(event) // 2
             self.chunk(request, event[:half])
             time.sleep(HALF_EVENT_S)
-            if number == self.crash_in_event:
+            if number == crash_in_event:
                 report("crashes", in_event=number)
                 crash()
             self.chunk(request, event[half:])
--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -43,10 +43,26 @@
     """The case could not be brought about."""
 
 
+def candidate_ports():
+    """Ports below those that the system hands out, so that no outgoing connection takes one before it is used."""
+    first, count = 14000, 18000
+    start = os.getpid() * 61
+    while True:
+        yield first + start % count
+        start += 1
+
+
+PORTS = candidate_ports()
+
+
 def free_port():
-    with socket.socket() as listener:
-        listener.bind((HOST, 0))
-        return listener.getsockname()[1]
+    for port in PORTS:
+        with socket.socket() as listener:
+            try:
+                listener.bind((HOST, port))
+                return port
+            except OSError:
+                pass
 
 
 def render(template, values):
