--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -137,7 +137,8 @@
         return {static_cast<std::size_t>(count), false, false};
     }
     const bool would_block = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-    return {0, !would_block, !would_block};
+    // Linux reports EPIPE for a reset that follows the peer's orderly close (tcp_reset in CLOSE_WAIT).
+    return {0, !would_block, !would_block && errno != EPIPE};
 }
 
 void shutdown_write(const descriptor& socket) {
--- a/src/relay/link.cpp
+++ b/src/relay/link.cpp
@@ -118,12 +118,12 @@
         // An event on an idle connection means that the upstream closed it or sent an unexpected answer.
         return close();
     }
-    if ((events & EPOLLOUT) != 0) {
-        write_more();
-    }
-    if (!closed() && (events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0) {
-        read_more();
+    // Input goes first: a write on a connection that was reset clears the error that tells the reset from an
+    // orderly close.
+    if ((events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0) {
+        return read_more();
     }
+    write_more();
 }
 
 void link::on_deadline(base::time_point /*now*/) {
@@ -142,8 +142,9 @@
         const http::io_result sent =
             http::write_some(socket_, std::string_view(send_buffer_).substr(sent_bytes_));
         if (sent.closed) {
-            // The upstream may have sent an answer before it closed the connection.
-            return read_more();
+            // The upstream may have sent an answer before. After a reset, the end of the input does not
+            // complete it.
+            return sent.failed ? read_rest() : read_more();
         }
         if (sent.bytes == 0) {
             break;
@@ -176,6 +177,17 @@
     fail(link_failure::closed);
 }
 
+void link::read_rest() {
+    while (busy_ && !closed()) {
+        std::array<char, read_buffer_size> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+        const http::io_result received = http::read_some(socket_, buffer.data(), buffer.size());
+        if (received.bytes == 0) {
+            return fail(link_failure::closed);
+        }
+        parse({buffer.data(), received.bytes});
+    }
+}
+
 void link::parse(std::string_view bytes) {
     while (!bytes.empty() && busy_ && !closed()) {
         const base::result<std::size_t> consumed = parser_.feed(bytes, parsed_body_);
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -99,6 +99,9 @@
 private:
     void write_more();
     void read_more();
+    /// Reads what arrived before the connection was reset, then ends the request. Used after a failed write,
+    /// which has cleared the error that a read would report.
+    void read_rest();
     void parse(std::string_view bytes);
     void finish_answer();
     void fail(link_failure failure);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <sys/epoll.h>
 #include <thread>
 
 namespace {
@@ -51,9 +52,10 @@
 /// A relay and a dispatcher under a supervisor as in a router, with up to two upstreams that the test plays.
 class router_fixture {
 public:
-    explicit router_fixture(std::size_t max_callers = 1000, std::size_t listed_upstreams = 2)
-        : listed_upstreams_(listed_upstreams), events_(1024), commands_(1024), datagrams_(64),
-          port_(free_port()),
+    explicit router_fixture(std::size_t max_callers = 1000, std::size_t listed_upstreams = 2,
+                            std::size_t max_body_bytes = 100000)
+        : listed_upstreams_(listed_upstreams), max_body_bytes_(max_body_bytes), events_(1024),
+          commands_(1024), datagrams_(64), port_(free_port()),
           supervisor_("test", base::restart_strategy::one_for_one, {0, seconds(1)}, clock_) {
         dispatch::dispatcher_settings decision_settings;
         decision_settings.member.self = base::vm_id("r1");
@@ -149,7 +151,7 @@
         catalogue->pools[pool].id = pool;
         catalogue->pools[pool].max_connections = 500;
         catalogue->limits.head_bytes = 2048;
-        catalogue->limits.body_bytes = 100000;
+        catalogue->limits.body_bytes = max_body_bytes_;
         catalogue->limits.head_timeout = milliseconds(300);
         catalogue->limits.idle_timeout = milliseconds(1500);
         catalogue->index();
@@ -175,6 +177,7 @@
     }
 
     const std::size_t listed_upstreams_;
+    const std::size_t max_body_bytes_;
     base::boot_clock clock_;
     base::metrics metrics_;
     platform::dialect dialect_;
@@ -201,6 +204,19 @@
     return count;
 }
 
+/// Records the answer to a request on a link.
+class answer_recorder final : public relay::link_listener {
+public:
+    bool on_answer_head(relay::link&, const http::response_head&) override { return true; }
+    void on_answer_body(relay::link&, std::string_view bytes) override { body.append(bytes); }
+    void on_answer_end(relay::link&) override { complete = true; }
+    void on_failure(relay::link&, relay::link_failure cause) override { failure = cause; }
+
+    std::string body;
+    bool complete = false;
+    std::optional<relay::link_failure> failure;
+};
+
 } // namespace
 
 TEST_CASE("saturation refuses costly requests before cheap ones and outlasts the lag by the recovery time") {
@@ -605,6 +621,89 @@
     }
 }
 
+// Guards against a part of an answer that passes for the whole one: the failed write of the request took the
+// error of the reset off the socket, and the end of the input then looked like an orderly close.
+TEST_CASE("an answer without a length is cut by a reset while the request is still being sent") {
+    constexpr std::size_t upload_bytes = std::size_t{8} << 20U; // more than the buffers of both sockets hold
+    router_fixture router(1000, 2, upload_bytes);
+    wire caller = router.connect_caller();
+    const std::string kind = GENERATE(as<std::string>(), "/order/1", "/look/1", "/text/1", "/long/1");
+    const bool streaming = kind == "/text/1" || kind == "/long/1";
+    const std::string status = GENERATE(as<std::string>(), "200 OK", "404 Not Found");
+    // Without events; with one that is passed on; and more than the relay buffers of other answers.
+    const std::string sent_part =
+        GENERATE(as<std::string>(), "", "id: 1\ndata: a\n\n", std::string(300000, 'x'));
+    caller.send(request(kind, "t1", "Content-Length: " + std::to_string(upload_bytes) + "\r\n", "POST") +
+                std::string(upload_bytes, 'b'));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_until([](const std::string& text) { return contains(text, "\r\n\r\n"); });
+    upstream.send("HTTP/1.1 " + status + "\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n" +
+                  (streaming ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n") + sent_part);
+    std::this_thread::sleep_for(milliseconds(50));
+    upstream.reset();
+    const bool passed_on = sent_part.size() > std::size_t{256} << 10U;
+    if (kind == "/long/1" || (kind == "/look/1" && !passed_on)) {
+        wire second = router.accept_any_upstream();
+        second.reset();
+    }
+    const std::string answer = caller.read_answer();
+    // Either a refusal of the router, or a part of the answer that has no end.
+    CHECK((contains(answer, "HTTP/1.1 502") || (caller.ended() && !contains(answer, "\r\n0\r\n\r\n"))));
+    CHECK_FALSE((contains(answer, "X-Response-Seal") && contains(answer, "Content-Length")));
+}
+
+// Guards against a reset that is noticed by a write: what is read afterwards looks like an orderly end.
+TEST_CASE("a failed write ends an answer without a length unless the upstream had ended it before") {
+    base::boot_clock clock;
+    relay::poller poller;
+    relay::timer_queue timers;
+    const relay::loop_context loop{poller, timers, clock};
+    const relay::link_limits limits;
+    fake_server server;
+    dispatch::upstream_entry target;
+    target.id = base::upstream_id("u");
+    target.address = {"127.0.0.1", server.port()};
+    relay::link connection(target, limits, loop);
+    wire upstream = server.accept();
+    answer_recorder recorder;
+    connection.start(dispatch::session_id(1), std::string(std::size_t{8} << 20U, 'b'), true, recorder);
+    upstream.send("HTTP/1.1 200 OK\r\n\r\npart");
+    while (recorder.body != "part") {
+        poller.wait(milliseconds(10));
+    }
+    upstream.send(" two");
+    const bool ended = GENERATE(true, false);
+    if (ended) {
+        upstream.end_sending();
+    }
+    upstream.close(); // resets the connection, since bytes of the request are unread
+    std::this_thread::sleep_for(milliseconds(50));
+    while (!recorder.complete && !recorder.failure) {
+        connection.on_ready(EPOLLOUT);
+    }
+    CHECK(recorder.body == "part two");
+    CHECK(recorder.complete == ended);
+    CHECK(recorder.failure.has_value() != ended);
+}
+
+// An upstream may answer before it has read the request and close its side, while it reads on.
+TEST_CASE("an early answer without a length is complete once the upstream closes its side") {
+    constexpr std::size_t upload_bytes = std::size_t{8} << 20U;
+    router_fixture router(1000, 2, upload_bytes);
+    wire caller = router.connect_caller();
+    caller.send(
+        request("/order/1", "t1", "Content-Length: " + std::to_string(upload_bytes) + "\r\n", "POST") +
+        std::string(upload_bytes, 'b'));
+    wire upstream = router.accept_any_upstream();
+    upstream.read_until([](const std::string& text) { return contains(text, "\r\n\r\n"); });
+    const std::string body(GENERATE(1, 100000, 400000), 'x');
+    upstream.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n\r\n" + body);
+    upstream.end_sending();
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 200"));
+    CHECK(count_of(answer, "x") >= body.size());
+}
+
 TEST_CASE("bytes without end that are no answer close the upstream connection") {
     router_fixture router;
     wire caller = router.connect_caller();
--- a/tests/wire.h
+++ b/tests/wire.h
@@ -93,6 +93,8 @@
         return readable(socket_, timeout);
     }
     void close() { socket_.close(); }
+    /// Closes the sending side.
+    void end_sending() { http::shutdown_write(socket_); }
     /// Closes the connection with a reset.
     void reset() {
         const linger reset_on_close{1, 0};
