--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -33,8 +33,8 @@
     base::client_account_id account;
     /// Time until the deadline of the request; negative if it has passed.
     base::duration time_left{};
-    /// Id of the event after which the upstream is to resume the stream: not set for a new stream, an empty
-    /// text if the events so far had no id.
+    /// Id of the last event that the caller got in this answer, after which the upstream is to go on; not
+    /// empty if set. Without it, the position that the caller itself asked for holds, if any.
     std::optional<std::string> resume_after;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -339,7 +339,7 @@
     attempt.copy_source = session.command.copy_source;
     attempt.account = session.command.account;
     attempt.time_left = session.command.deadline - clock_.now();
-    if (session.head_sent || !session.splitter.last_id().empty()) {
+    if (!session.splitter.last_id().empty()) {
         attempt.resume_after = session.splitter.last_id();
     }
     std::string text = session.head.method + ' ' + session.head.target + " HTTP/1.1\r\n";
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -204,6 +204,20 @@
     return count;
 }
 
+/// Returns the values of all fields with the name in a request.
+std::vector<std::string> values_of(const std::string& request_text, const std::string& name) {
+    http::request_parser parser({65536, std::size_t{1} << 20U});
+    REQUIRE(parser.feed(request_text));
+    REQUIRE(parser.complete());
+    std::vector<std::string> values;
+    for (const http::field& entry : parser.take_head().fields) {
+        if (http::equal_ignoring_case(entry.name, name)) {
+            values.push_back(entry.value);
+        }
+    }
+    return values;
+}
+
 /// Records the answer to a request on a link.
 class answer_recorder final : public relay::link_listener {
 public:
@@ -826,6 +840,51 @@
     CHECK(rest.find("id: 2") == rest.rfind("id: 2"));
 }
 
+// Guards against events that come twice: a caller resumes its stream, the upstream breaks off before it has
+// sent a whole event, and the next upstream is not told where to go on.
+TEST_CASE("a stream that the caller resumed goes on where the caller asked, however far an upstream came") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    const std::string path = GENERATE(as<std::string>(), "/long/1", "/look/1");
+    caller.send(request(path, "t1", "last-event-id: 12\r\nContent-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    CHECK(contains(first.read_request(), "last-event-id: 12\r\n"));
+    const bool chunked = GENERATE(true, false);
+    const std::string head = chunked ? stream_head("t1")
+                                     : "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n"
+                                       "Content-Type: text/event-stream\r\n\r\n";
+    const auto part = [chunked](const std::string& text) { return chunked ? chunk(text) : text; };
+    std::string position = "12";
+    SECTION("before its answer") {}
+    SECTION("inside the head of its answer") {
+        first.send(head.substr(0, 20));
+    }
+    SECTION("after the head") {
+        first.send(head);
+    }
+    SECTION("inside its first event") {
+        first.send(head + part("id: 13\ndata: wor"));
+    }
+    SECTION("inside its second event") {
+        first.send(head + part("id: 13\ndata: 13\n\nid: 14\nda"));
+        // Only the events of a stream are passed on before the answer is complete.
+        position = path == "/long/1" ? "13" : "12";
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    first.reset();
+    wire second = router.accept_any_upstream();
+    CHECK(values_of(second.read_request(), "Last-Event-Id") == std::vector<std::string>{position});
+    second.send(head +
+                part(position == "12" ? "id: 13\ndata: 13\n\nid: 14\ndata: 14\n\n" : "id: 14\ndata: 14\n\n") +
+                (chunked ? "0\r\n\r\n" : ""));
+    second.close();
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 200"));
+    CHECK(count_of(answer, "id: 13\n") == 1);
+    CHECK(count_of(answer, "id: 14\n") == 1);
+    CHECK_FALSE(caller.ended());
+}
+
 TEST_CASE("an error that answers the continuation of a stream stays out of the stream and cuts it") {
     router_fixture router;
     wire caller = router.connect_caller();
