--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -1,5 +1,7 @@
 #include "http/parser.h"
 
+#include "http/status.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -220,11 +222,13 @@
 
 void response_parser::prepare_next(bool expect_body) {
     reset();
+    status_line_.clear();
     head_ = {};
     expect_body_ = expect_body;
 }
 
 base::result<std::size_t> response_parser::feed(std::string_view bytes, std::string& body) {
+    record_status_line(bytes);
     body_ = &body;
     const std::size_t consumed = execute(bytes);
     body_ = nullptr;
@@ -235,6 +239,14 @@
     return consumed;
 }
 
+void response_parser::record_status_line(std::string_view bytes) {
+    if (status_line_.empty()) {
+        // The library accepts empty lines before an answer.
+        bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    }
+    status_line_.append(bytes.substr(0, status_line_prefix_bytes - status_line_.size()));
+}
+
 void response_parser::end_of_input() {
     if (head_complete_ && !complete_) {
         execute({});
@@ -242,7 +254,11 @@
 }
 
 int response_parser::on_head() {
-    head_.status = static_cast<int>(parser_.status_code);
+    const std::optional<int> status = parse_status(status_line_);
+    if (!status) {
+        return -1;
+    }
+    head_.status = *status;
     head_.fields = std::move(fields_);
     head_.keep_alive = http_should_keep_alive(&parser_) != 0;
     if ((parser_.flags & F_CONTENTLENGTH) != 0) {
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -146,7 +146,7 @@
     /// Prepares for the answer to a request. `expect_body` is false for HEAD.
     void prepare_next(bool expect_body);
     /// Parses bytes, appends decoded body bytes to `body` and returns how many bytes belong to the answer.
-    /// Error: `upstream_malformed_answer`.
+    /// Error: `upstream_malformed_answer`, also for a status that HTTP does not have (see `parse_status`).
     base::result<std::size_t> feed(std::string_view bytes, std::string& body);
     /// Reports that the peer closed its side. Completes an answer that is delimited by the end of the
     /// connection.
@@ -158,8 +158,11 @@
 private:
     int on_head() override;
     int on_body(std::string_view bytes) override;
+    void record_status_line(std::string_view bytes);
 
     static constexpr message_limits response_limits{65536, SIZE_MAX};
+    /// Start of the status line, of which the library reads no more than the number.
+    std::string status_line_;
     response_head head_;
     std::string* body_ = nullptr;
     bool expect_body_ = true;
--- a/src/upstream/wire.cpp
+++ b/src/upstream/wire.cpp
@@ -1,5 +1,7 @@
 #include "upstream/wire.h"
 
+#include "http/status.h"
+
 #include <algorithm>
 #include <charconv>
 #include <strings.h>
@@ -116,15 +118,11 @@
     if (stage_ == stage::fields) {
         return line_.empty() ? begin_body() : parse_field();
     }
-    constexpr std::string_view version = "HTTP/1.";
-    constexpr std::size_t status_offset = 9;
-    constexpr std::size_t status_digits = 3;
-    std::uint64_t status = 0;
-    if (line_.compare(0, version.size(), version) != 0 || line_.size() < status_offset + status_digits ||
-        !parse_number(std::string_view(line_).substr(status_offset, status_digits), decimal, status)) {
-        return malformed_answer("the answer has no status line");
+    const std::optional<int> status = http::parse_status(line_);
+    if (!status) {
+        return malformed_answer("the answer has no valid status line");
     }
-    head_ = decision::answer_head{static_cast<int>(status), {}};
+    head_ = decision::answer_head{*status, {}};
     stage_ = stage::fields;
     return {};
 }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -93,6 +93,32 @@
     CHECK_FALSE(parser.complete());
 }
 
+// Guards against a spoiled status line that callers get as an answer.
+TEST_CASE("an answer without a status of HTTP is an error, split at any byte") {
+    const auto accepts = [](const std::string& line, std::size_t split) {
+        const std::string answer = line + "\r\nContent-Length: 0\r\n\r\n";
+        response_parser parser;
+        parser.prepare_next(true);
+        std::string body;
+        const std::string_view text(answer);
+        return parser.feed(text.substr(0, split), body) && parser.feed(text.substr(split), body) &&
+               parser.complete();
+    };
+    const std::size_t split = GENERATE(range(0, 24));
+    for (const char* const line :
+         {"HTTP/1.1 000 Unknown", "HTTP/1.1 000", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 2 0 OK",
+          "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+          "HTTP/1.1 65736 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200OK"}) {
+        CAPTURE(line, split);
+        CHECK_FALSE(accepts(line, split));
+    }
+    for (const char* const line : {"HTTP/1.1 200 OK", "HTTP/1.0 404 Not Found", "HTTP/1.1 599 x",
+                                   "HTTP/1.1 200", "\r\nHTTP/1.1 200 "}) {
+        CAPTURE(line, split);
+        CHECK(accepts(line, split));
+    }
+}
+
 TEST_CASE("bytes that are not an answer are an error") {
     response_parser parser;
     parser.prepare_next(true);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -718,6 +718,33 @@
     CHECK(count_of(answer, "x") >= body.size());
 }
 
+// Guards against a spoiled status line that callers get as an answer, with the mark of an upstream.
+TEST_CASE("an answer without a status of HTTP is replaced by another upstream's, or by 502") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    const std::string path = GENERATE(as<std::string>(), "/order/1", "/look/1", "/text/1", "/long/1");
+    const std::string status =
+        GENERATE(as<std::string>(), "000 Unknown", "2 0 OK", "099 OK", "0200 OK", "700 OK");
+    const std::string interim = GENERATE(as<std::string>(), "", "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.send(request(path, "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    first.send(interim + "HTTP/1.1 " + status +
+               "\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong");
+    const bool repeatable = path == "/look/1" || path == "/long/1";
+    if (repeatable) {
+        wire second = router.accept_any_upstream();
+        second.read_request();
+        second.send(ok_answer("t1", "id: 1\ndata: a\n\n"));
+        CHECK(contains(caller.read_answer(), "data: a"));
+    } else {
+        const std::string answer = caller.read_answer();
+        CHECK(contains(answer, "HTTP/1.1 502"));
+        CHECK_FALSE(contains(answer, "X-Response-Seal"));
+        CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
+    }
+}
+
 TEST_CASE("bytes without end that are no answer close the upstream connection") {
     router_fixture router;
     wire caller = router.connect_caller();
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -189,8 +189,9 @@
 
 TEST_CASE("the answer parser refuses malformed answers") {
     for (const char* wire :
-         {"HTTP/1.1 200 OK\r\n\r\n", "nonsense\r\n", "HTTP/1.1 2x0 OK\r\n",
-          "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n",
+         {"HTTP/1.1 200 OK\r\n\r\n", "nonsense\r\n", "HTTP/1.1 2x0 OK\r\n", "HTTP/1.1 000 OK\r\n",
+          "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 2 0 OK\r\n",
+          "HTTP/1.1 200OK\r\n", "HTTP/1.1x200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n",
           "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "HTTP/1.1 200 OK\r\n: a\r\n",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
