--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -21,6 +21,8 @@
     std::string api_key;
     /// How long the caller waits for the answer, if stated.
     std::optional<base::duration> caller_timeout;
+    /// Id of the event after which the caller wants its stream to go on; empty for a whole stream.
+    std::string resume_after;
     dispatch::prompt_info prompt;
 };
 
@@ -33,9 +35,8 @@
     base::client_account_id account;
     /// Time until the deadline of the request; negative if it has passed.
     base::duration time_left{};
-    /// Id of the last event that the caller got in this answer, after which the upstream is to go on; not
-    /// empty if set. Without it, the position that the caller itself asked for holds, if any.
-    std::optional<std::string> resume_after;
+    /// Id of the last event that the caller has, after which the upstream is to go on; empty if it has none.
+    std::string resume_after;
 };
 
 /// What the head of an upstream's answer states.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -197,6 +197,7 @@
     created->id = dispatch::session_id(++last_session_id_);
     created->caller_connection = &connection;
     created->received_at = clock_.now();
+    created->splitter.start_after(info->resume_after);
     dispatch::request_read event;
     event.id = created->id;
     event.caller_request_id = info->caller_request_id;
@@ -339,9 +340,7 @@
     attempt.copy_source = session.command.copy_source;
     attempt.account = session.command.account;
     attempt.time_left = session.command.deadline - clock_.now();
-    if (!session.splitter.last_id().empty()) {
-        attempt.resume_after = session.splitter.last_id();
-    }
+    attempt.resume_after = session.splitter.last_id();
     std::string text = session.head.method + ' ' + session.head.target + " HTTP/1.1\r\n";
     for (const http::field& entry : dialect_.request_fields(session.head, attempt)) {
         text.append(entry.name).append(": ").append(entry.value).append("\r\n");
@@ -366,6 +365,9 @@
     session->attempt_body_started = false;
     session->longest_pause = {};
     session->splitter.drop_partial();
+    if (command.resumable) {
+        session->splitter.require_order();
+    }
     link* const upstream_link = connection_for(*session);
     if (upstream_link == nullptr) {
         return report_attempt_finished(*session, attempt_outcome::unsent);
@@ -535,6 +537,14 @@
     if (find(id) == nullptr || upstream_link == nullptr) {
         return;
     }
+    if (session.splitter.out_of_order()) {
+        base::log_event(base::log_level::warning, name(), "event_out_of_order",
+                        {{"request", session.request.caller_request_id},
+                         {"attempt", session.command.attempt},
+                         {"upstream", session.command.target.id.value()},
+                         {"last_id", session.splitter.last_id()}});
+        return abandon_attempt(session);
+    }
     if (session.splitter.partial_bytes() > max_event_bytes) {
         return abandon_attempt(session);
     }
--- a/src/relay/splitter.h
+++ b/src/relay/splitter.h
@@ -11,15 +11,24 @@
 /// Thread safety: used by one thread.
 class event_splitter {
 public:
+    /// Sets the id after which the stream goes on. Pre-condition: nothing was fed.
+    void start_after(const std::string& id) { last_id_ = id; }
+    /// From now on, `feed` holds back an event whose id does not follow the one before, and all after it. Ids
+    /// that are numbers increase, other ids differ from the one before.
+    void require_order() { order_required_ = true; }
     /// Appends bytes to the stream and returns the events that they complete.
     [[nodiscard]] std::string feed(std::string_view bytes);
-    /// Drops an event that has arrived only in part.
+    /// Drops what was fed but not returned, before the stream goes on from another source.
     void drop_partial() {
         pending_.clear();
         scan_start_ = 0;
+        out_of_order_ = false;
     }
-    /// Returns the value of the last `id` field of a complete event; empty if there was none.
+    /// Returns the value of the last `id` field of a complete event, or the id of `start_after`; empty if
+    /// there was none.
     [[nodiscard]] const std::string& last_id() const { return last_id_; }
+    /// Returns true if an event was held back since its id does not follow `last_id`.
+    [[nodiscard]] bool out_of_order() const { return out_of_order_; }
     /// Returns the number of complete events.
     [[nodiscard]] std::uint32_t event_count() const { return event_count_; }
     /// Returns true if bytes of an incomplete event are buffered. Blank lines belong to no event.
@@ -30,12 +39,15 @@
     [[nodiscard]] std::size_t partial_bytes() const { return pending_.size(); }
 
 private:
-    void record_event(std::string_view event);
+    /// Returns false if the event is to be held back.
+    bool record_event(std::string_view event);
 
     std::string pending_;
     /// Position in `pending_` from which the end of an event is searched.
     std::size_t scan_start_ = 0;
     std::string last_id_;
+    bool order_required_ = false;
+    bool out_of_order_ = false;
     std::uint32_t event_count_ = 0;
 };
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -875,7 +875,7 @@
     const std::string path = GENERATE(as<std::string>(), "/long/1", "/look/1");
     caller.send(request(path, "t1", "last-event-id: 12\r\nContent-Length: 0\r\n", "POST"));
     wire first = router.accept_any_upstream();
-    CHECK(contains(first.read_request(), "last-event-id: 12\r\n"));
+    CHECK(values_of(first.read_request(), "Last-Event-Id") == std::vector<std::string>{"12"});
     const bool chunked = GENERATE(true, false);
     const std::string head = chunked ? stream_head("t1")
                                      : "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n"
@@ -912,6 +912,40 @@
     CHECK_FALSE(caller.ended());
 }
 
+// Guards against events that come twice: an upstream that does not know the position begins the stream anew.
+TEST_CASE("an upstream that does not go on after the last event of a stream adds nothing to it") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    const bool resumed_by_caller = GENERATE(true, false);
+    caller.send(request(
+        "/long/1", "t1",
+        std::string(resumed_by_caller ? "Last-Event-Id: 2\r\n" : "") + "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    if (!resumed_by_caller) {
+        first.send(stream_head("t1") + chunk("id: 1\ndata: 1\n\n") + chunk("id: 2\ndata: 2\n\n"));
+        caller.read_until([](const std::string& text) { return contains(text, "data: 2\n\n"); });
+        first.reset();
+    }
+    wire second = resumed_by_caller ? std::move(first) : router.accept_any_upstream();
+    const std::string repeated = GENERATE(as<std::string>(), "id: 2\ndata: 2\n\n", "id: 1\ndata: 1\n\n");
+    second.send(stream_head("t1") + chunk(repeated) + chunk("id: 3\ndata: 3\n\n") + "0\r\n\r\n");
+    std::string rest;
+    if (resumed_by_caller) {
+        wire third = router.accept_any_upstream();
+        CHECK(values_of(third.read_request(), "Last-Event-Id") == std::vector<std::string>{"2"});
+        third.send(stream_head("t1") + chunk("id: 3\ndata: 3\n\n") + "0\r\n\r\n");
+        rest = caller.read_answer();
+        CHECK(contains(rest, "data: 3\n\n"));
+    } else {
+        rest = caller.read_to_end();
+        CHECK(caller.ended());
+        CHECK_FALSE(contains(rest, "0\r\n\r\n"));
+    }
+    CHECK_FALSE(contains(rest, "data: 1\n"));
+    CHECK_FALSE(contains(rest, "data: 2\n"));
+}
+
 TEST_CASE("an error that answers the continuation of a stream stays out of the stream and cuts it") {
     router_fixture router;
     wire caller = router.connect_caller();
@@ -1106,6 +1140,22 @@
     }
 }
 
+TEST_CASE("the event splitter holds back an event that does not follow the one before") {
+    relay::event_splitter splitter;
+    splitter.start_after("9");
+    splitter.require_order();
+    CHECK(splitter.feed("id: 10\ndata: a\n\n: comment\n\nid: 10\ndata: b\n\nid: 11\ndata: c\n\n") ==
+          "id: 10\ndata: a\n\n: comment\n\n");
+    CHECK(splitter.out_of_order());
+    CHECK(splitter.last_id() == "10");
+    splitter.drop_partial();
+    CHECK_FALSE(splitter.out_of_order());
+    CHECK(splitter.feed("id: 11\ndata: c\n\ndata: d\n\n") == "id: 11\ndata: c\n\ndata: d\n\n");
+    CHECK(splitter.feed("id: x\ndata: e\n\nid: y\ndata: f\n\nid: y\ndata: g\n\n") ==
+          "id: x\ndata: e\n\nid: y\ndata: f\n\n");
+    CHECK(splitter.out_of_order());
+}
+
 TEST_CASE("a stop answers a request that an upstream still runs instead of closing its connection") {
     router_fixture router;
     wire caller = router.connect_caller();
