--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -740,9 +740,10 @@
     const bool unsent = attempt.outcome == attempt_outcome::unsent;
     const bool not_run = unsent || attempt.outcome == attempt_outcome::refused ||
                          attempt.outcome == attempt_outcome::misdirected;
-    const bool may_run_again = attempt.outcome == attempt_outcome::cut
-                                   ? request.route->kind == route_kind::streaming && request.route->resumable
-                                   : request.route->repeatable();
+    const bool may_go_on =
+        request.route->kind == route_kind::streaming && request.route->resumable && attempt.position_known;
+    const bool may_run_again =
+        attempt.outcome == attempt_outcome::cut ? may_go_on : request.route->repeatable();
     if ((!not_run && !may_run_again) || request.upstreams_used >= request.route->max_attempts ||
         now_ + min_retry_time >= request.deadline || !fits_into_stop(request) || blocked(request)) {
         return false;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -133,6 +133,8 @@
     std::optional<load_report> load;
     /// Events of a stream that were passed on in this attempt.
     std::uint32_t events = 0;
+    /// False if the caller has an event without an id, so that a stream cannot go on after it.
+    bool position_known = true;
     /// Longest time between two parts of the answer in this attempt.
     base::duration longest_pause{};
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -631,6 +631,7 @@
     report.status = session.answer_head.status;
     report.load = session.answer.load;
     report.events = session.splitter.event_count();
+    report.position_known = session.splitter.position_known();
     report.longest_pause = session.longest_pause;
     if (outcome == attempt_outcome::delivered) {
         metrics_.add({"bluebell_requests_total", {{"outcome", "delivered"}}});
--- a/src/relay/splitter.cpp
+++ b/src/relay/splitter.cpp
@@ -92,6 +92,9 @@
     ++event_count_;
     if (has_id) {
         last_id_ = std::string(*fields.id);
+        position_known_ = true;
+    } else if (fields.has_data) {
+        position_known_ = false;
     }
     return true;
 }
--- a/src/relay/splitter.h
+++ b/src/relay/splitter.h
@@ -27,6 +27,8 @@
     /// Returns the value of the last `id` field of a complete event, or the id of `start_after`; empty if
     /// there was none.
     [[nodiscard]] const std::string& last_id() const { return last_id_; }
+    /// Returns true if the stream can go on after `last_id`: no event without an id followed it.
+    [[nodiscard]] bool position_known() const { return position_known_; }
     /// Returns true if an event was held back since its id does not follow `last_id`.
     [[nodiscard]] bool out_of_order() const { return out_of_order_; }
     /// Returns the number of complete events.
@@ -46,6 +48,7 @@
     /// Position in `pending_` from which the end of an event is searched.
     std::size_t scan_start_ = 0;
     std::string last_id_;
+    bool position_known_ = true;
     bool order_required_ = false;
     bool out_of_order_ = false;
     std::uint32_t event_count_ = 0;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -818,6 +818,23 @@
     CHECK((router.ended(id) == nullptr) == allowed);
 }
 
+TEST_CASE("a broken stream whose position is not known is not continued") {
+    dispatcher_fixture router;
+    std::shared_ptr<catalogue> resumable = make_catalogue(2);
+    resumable->routes[0].resumable = true;
+    router.handle(catalogue_read{resumable, router.now()});
+    const session_id id = router.request("/text/1", "key-a");
+    router.handle(answer_started{id, 1});
+    attempt_finished report;
+    report.id = id;
+    report.attempt = 1;
+    report.outcome = attempt_outcome::cut;
+    report.status = 200;
+    report.position_known = GENERATE(true, false);
+    router.handle(report);
+    CHECK((router.ended(id) == nullptr) == report.position_known);
+}
+
 TEST_CASE("a request that crashed three upstreams is not sent to a fourth one") {
     dispatcher_fixture router({make_upstream("p1", plain_pool, 4), make_upstream("p2", plain_pool, 4),
                                make_upstream("p3", plain_pool, 4), make_upstream("p4", plain_pool, 4)});
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -946,6 +946,23 @@
     CHECK_FALSE(contains(rest, "data: 2\n"));
 }
 
+// Guards against events that come twice: after an event without an id, no position can be named.
+TEST_CASE("a stream is not continued after an event without an id") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    caller.send(request("/long/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    const std::string start = GENERATE(as<std::string>(), "", "id: 1\ndata: 1\n\n");
+    first.send(stream_head("t1") + chunk(start + "data: 2\n\n"));
+    caller.read_until([](const std::string& text) { return contains(text, "data: 2\n\n"); });
+    first.reset();
+    const std::string rest = caller.read_to_end();
+    CHECK(caller.ended());
+    CHECK_FALSE(contains(rest, "0\r\n\r\n"));
+    CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
+}
+
 TEST_CASE("an error that answers the continuation of a stream stays out of the stream and cuts it") {
     router_fixture router;
     wire caller = router.connect_caller();
@@ -1140,20 +1157,23 @@
     }
 }
 
-TEST_CASE("the event splitter holds back an event that does not follow the one before") {
+TEST_CASE("the event splitter holds back what does not follow, and knows whether the position is known") {
     relay::event_splitter splitter;
     splitter.start_after("9");
     splitter.require_order();
     CHECK(splitter.feed("id: 10\ndata: a\n\n: comment\n\nid: 10\ndata: b\n\nid: 11\ndata: c\n\n") ==
           "id: 10\ndata: a\n\n: comment\n\n");
     CHECK(splitter.out_of_order());
+    CHECK(splitter.position_known());
     CHECK(splitter.last_id() == "10");
     splitter.drop_partial();
     CHECK_FALSE(splitter.out_of_order());
     CHECK(splitter.feed("id: 11\ndata: c\n\ndata: d\n\n") == "id: 11\ndata: c\n\ndata: d\n\n");
+    CHECK_FALSE(splitter.position_known());
     CHECK(splitter.feed("id: x\ndata: e\n\nid: y\ndata: f\n\nid: y\ndata: g\n\n") ==
           "id: x\ndata: e\n\nid: y\ndata: f\n\n");
     CHECK(splitter.out_of_order());
+    CHECK(splitter.position_known());
 }
 
 TEST_CASE("a stop answers a request that an upstream still runs instead of closing its connection") {
