--- a/src/relay/link.cpp
+++ b/src/relay/link.cpp
@@ -171,6 +171,7 @@
         parser_.end_of_input();
         if (parser_.complete()) {
             reusable_ = false;
+            ended_by_close_ = true;
             return finish_answer();
         }
     }
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -88,6 +88,8 @@
     [[nodiscard]] bool usable(bool must_not_repeat, base::time_point now) const;
     /// Returns the id of the current or the last request.
     [[nodiscard]] dispatch::session_id request() const { return request_; }
+    /// Returns true if only the end of the connection marked the end of the last answer.
+    [[nodiscard]] bool ended_by_close() const { return ended_by_close_; }
     /// Returns true if the current request is the first one on this connection.
     [[nodiscard]] bool first_request() const { return requests_ == 1; }
     [[nodiscard]] const base::upstream_id& upstream() const { return upstream_; }
@@ -138,6 +140,7 @@
     /// False if the connection must be closed after the current answer.
     bool reusable_ = true;
     bool reading_paused_ = false;
+    bool ended_by_close_ = false;
     /// Idle timeout that the upstream stated, if any.
     std::optional<base::duration> idle_timeout_;
     base::time_point idle_since_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -363,6 +363,7 @@
     session->answer_head = {};
     session->answer_head.status = 0; // no answer yet
     session->attempt_body_started = false;
+    session->earlier_events = session->splitter.event_count();
     session->longest_pause = {};
     session->splitter.drop_partial();
     if (command.resumable) {
@@ -570,8 +571,10 @@
     }
     if (!session->buffering) {
         // An answer without a length ends with its connection, so that only its last event shows whether it
-        // is complete.
-        if (session->splitter.has_partial_event()) {
+        // is complete. One without any event shows nothing.
+        const bool lacks_events = connection.ended_by_close() && carries_events(*session) &&
+                                  session->splitter.event_count() == session->earlier_events;
+        if (session->splitter.has_partial_event() || lacks_events) {
             return report_attempt_finished(*session, attempt_outcome::cut);
         }
         // Ends the answer last, since the next request of the caller may be handled within that call.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -79,6 +79,8 @@
         bool first_event_observed = false;
         /// Set once a part of the body was forwarded in this attempt.
         bool attempt_body_started = false;
+        /// Number of whole events of the answer before this attempt.
+        std::uint32_t earlier_events = 0;
         /// When the last part of the answer was forwarded in this attempt, and the longest time between two
         /// parts.
         base::time_point last_part_at;
--- a/src/relay/splitter.cpp
+++ b/src/relay/splitter.cpp
@@ -89,7 +89,9 @@
     if (order_required_ && has_id && !follows(*fields.id, last_id_)) {
         return false;
     }
-    ++event_count_;
+    if (fields.has_data) {
+        ++event_count_;
+    }
     if (has_id) {
         last_id_ = std::string(*fields.id);
         position_known_ = true;
--- a/src/relay/splitter.h
+++ b/src/relay/splitter.h
@@ -31,7 +31,7 @@
     [[nodiscard]] bool position_known() const { return position_known_; }
     /// Returns true if an event was held back since its id does not follow `last_id`.
     [[nodiscard]] bool out_of_order() const { return out_of_order_; }
-    /// Returns the number of complete events.
+    /// Returns the number of complete events with data.
     [[nodiscard]] std::uint32_t event_count() const { return event_count_; }
     /// Returns true if bytes of an incomplete event are buffered. Blank lines belong to no event.
     [[nodiscard]] bool has_partial_event() const {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -848,6 +848,34 @@
     CHECK(caller.ended() != whole);
 }
 
+// Guards against an empty stream that looks complete: an upstream that ends after the head of an answer
+// without a length closes its connection like one that has sent everything.
+TEST_CASE("a stream without a length that ends before its first event is cut") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    const std::string path = GENERATE(as<std::string>(), "/text/1", "/long/1");
+    const std::string position = GENERATE(as<std::string>(), "", "Last-Event-Id: 4\r\n");
+    const std::string type = GENERATE(as<std::string>(), "", "Content-Type: text/event-stream\r\n");
+    const std::string comment = GENERATE(as<std::string>(), "", ": ready\n\n");
+    const bool has_length = GENERATE(true, false);
+    caller.send(request(path, "t1", position + "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    first.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n" + type +
+               (has_length ? "Content-Length: 0\r\n\r\n" : "\r\n" + comment));
+    first.close();
+    const bool resumed = path == "/long/1" && !has_length;
+    if (resumed) {
+        wire second = router.accept_any_upstream();
+        CHECK(values_of(second.read_request(), "Last-Event-Id").size() == (position.empty() ? 0 : 1));
+        second.send(stream_head("t1") + chunk("id: 5\ndata: 5\n\n") + "0\r\n\r\n");
+    }
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "data: 5\n\n") == resumed);
+    CHECK(contains(answer, "\r\n0\r\n\r\n") == (resumed || has_length));
+    CHECK(caller.ended() != (resumed || has_length));
+}
+
 TEST_CASE("a resumable stream continues at another upstream after its last complete event") {
     router_fixture router;
     wire caller = router.connect_caller();
