--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -598,7 +598,9 @@
 bool relay::carries_events(const exchange& session) {
     const std::string* const type = session.answer_head.find("Content-Type");
     return session.command.streaming &&
-           (type == nullptr || type->compare(0, event_stream_type.size(), event_stream_type) == 0);
+           (type == nullptr ||
+            http::equal_ignoring_case(std::string_view(*type).substr(0, event_stream_type.size()),
+                                      event_stream_type));
 }
 
 void relay::deliver_buffered(exchange& session) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -832,13 +832,15 @@
     upstream.read_request();
     const bool chunked = GENERATE(true, false);
     const bool whole = GENERATE(true, false);
+    const std::string type =
+        GENERATE(as<std::string>(), "text/event-stream", "Text/Event-Stream; charset=UTF-8");
     const std::string events = whole ? "id: 1\ndata: a\n\n" : "id: 1\ndata: a\n\nid: 2\ndata: b";
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\nContent-Type: " + type + "\r\n";
     if (chunked) {
-        upstream.send(stream_head("t1") + chunk(events) + "0\r\n\r\n");
+        upstream.send(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(events) + "0\r\n\r\n");
     } else {
-        upstream.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nX-Response-Seal: s\r\n"
-                      "Content-Type: text/event-stream\r\n\r\n" +
-                      events);
+        upstream.send(head + "\r\n" + events);
         upstream.close();
     }
     const std::string answer =
