--- a/src/upstream/attempt.cpp
+++ b/src/upstream/attempt.cpp
@@ -193,6 +193,12 @@
                      "the repeated answer is shorter than what the caller has"});
         return;
     }
+    if (streamed_ && event_counter_.inside_event()) {
+        finish(attempt_status::interrupted,
+               error{error_code::upstream_malformed_answer, command_.target.id.value(),
+                     "the stream ends inside an event"});
+        return;
+    }
     if (!streamed_) {
         stated_cost_ = stated_usage(undelivered_);
     }
--- a/src/upstream/tally.cpp
+++ b/src/upstream/tally.cpp
@@ -17,8 +17,14 @@
     for (const char c : bytes) {
         if (c == '\n') {
             matched_characters_ = 0;
+            inside_event_ = inside_event_ && !line_empty_;
+            line_empty_ = true;
             continue;
         }
+        if (c != '\r') {
+            line_empty_ = false;
+            inside_event_ = true;
+        }
         if (matched_characters_ >= end_record.size()) {
             continue;
         }
--- a/src/upstream/tally.h
+++ b/src/upstream/tally.h
@@ -14,9 +14,13 @@
     /// Processes the next bytes of the stream.
     void add(std::string_view bytes);
     [[nodiscard]] std::uint64_t count() const { return count_; }
+    /// Returns true if the last event has not ended with a blank line.
+    [[nodiscard]] bool inside_event() const { return inside_event_; }
 
 private:
     std::uint64_t count_ = 0;
+    bool line_empty_ = true;
+    bool inside_event_ = false;
     /// Number of leading characters of the current line that match `data: [DONE]`; the size of that record
     /// after the first mismatch.
     std::size_t matched_characters_ = 0;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -5,8 +5,10 @@
 #include "upstream/transport.h"
 #include "wire.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <condition_variable>
+#include <cstdio>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -309,6 +311,35 @@
     CHECK(exchange->head_count() == 0);
 }
 
+// Guards against a part of a stream that counts as the whole one.
+TEST_CASE("a stream that ends inside an event is reported as interrupted, with a length and in chunks") {
+    bluebell::tests::fake_server server;
+    transport_fixture fixture;
+    const std::shared_ptr<recording_exchange> exchange = std::make_shared<recording_exchange>(chat("a"));
+    fixture.push(fixture.dispatch_to({"127.0.0.1", server.port()}, exchange, 1));
+    bluebell::tests::wire upstream = server.accept();
+    upstream.read_request();
+    const bool whole = GENERATE(true, false);
+    const std::string events =
+        whole
+            ? GENERATE(as<std::string>(), "data: a\n\n", "data: a\r\n\r\n", "data: a\n\n\n")
+            : GENERATE(as<std::string>(), "data: a", "data: a\n", "data: a\n\nda", "data: a\n\ndata: b\r\n");
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    if (GENERATE(true, false)) {
+        upstream.send(head + "Content-Length: " + std::to_string(events.size()) + "\r\n\r\n" + events);
+    } else {
+        upstream.send(head + "Transfer-Encoding: chunked\r\n\r\n1\r\n" + events.front() + "\r\n");
+        std::array<char, 8> rest{};
+        std::snprintf(rest.data(), rest.size(), "%zx", events.size() - 1);
+        upstream.send(rest.data() + ("\r\n" + events.substr(1)) + "\r\n0\r\n\r\n");
+    }
+    const decision::attempt_ended ended = fixture.next_end();
+    CAPTURE(events);
+    CHECK((ended.result.status == attempt_status::completed) == whole);
+    CHECK((ended.result.status == attempt_status::interrupted) == !whole);
+    CHECK(ended.result.delivered.value() == events.size());
+}
+
 TEST_CASE("a silent upstream ends the attempt at its time limit and the connection is not reused") {
     standin::engine engine({});
     engine.start();
