--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,11 +4,12 @@
 
 For each seed, three routers run between clients and upstreams, with a stand-in of the platform's store. A seeded
 schedule stops, kills, pauses and reloads routers, and breaks connections, upstreams and the store, with overlaps.
-Clients keep using open connections until these end. What clients and upstreams saw is checked:
+Clients keep using open connections until these end, and resume some of the streams that were cut. Upstreams break off
+answers at any point, with a length, in chunks or with neither. What clients and upstreams saw is checked:
 
   twice        a request that must not run twice ran more than once
   refused      a request that was answered as not run has run
-  mixed        a success without the upstream's mark, or with another body
+  mixed        a success without the upstream's mark, or with another body; a status that HTTP does not have
   order        a stream lacks an event, repeats one, or ends as complete before its last one
   cut          a planned stop cut a request, with no other fault near it
   leaving      a request reached an upstream that had told the router more than two seconds before that it leaves
@@ -28,6 +29,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -42,6 +44,9 @@
 LIMIT_SETTLE_S = 3.0
 LIMIT_WINDOW_S = 4.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+LONG_BODY_BYTES = 4 << 20  # more than the sockets between a router and an upstream that does not read can hold
+LONG_BODY_SHARE = 0.05
+RESUMED_SHARE = 0.7
 
 
 def free_ports(count):
@@ -58,12 +63,30 @@
     return ports
 
 
+def reset(writer):
+    """Closes a connection so that the peer sees a reset, and not the end of what was sent."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and not writer.transport.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def read_message(reader, eof_ends_body=False):
     """Returns the start line, the fields, the body and whether the body is complete."""
+    line, fields = await read_head(reader)
+    body, complete = await read_body(reader, fields, eof_ends_body)
+    return line, fields, body, complete
+
+
+async def read_head(reader):
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
-    fields = {name.strip().lower(): value.strip()
-              for name, _, value in (line.partition(":") for line in lines[1:] if line)}
+    return lines[0], {name.strip().lower(): value.strip()
+                      for name, _, value in (line.partition(":") for line in lines[1:] if line)}
+
+
+async def read_body(reader, fields, eof_ends_body):
+    """Returns the body, as far as it arrived, and whether it is complete."""
     body = b""
     try:
         if fields.get("transfer-encoding") == "chunked":
@@ -71,14 +94,14 @@
                 size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
                 body += (await reader.readexactly(size + 2))[:-2]
                 if size == 0:
-                    return lines[0], fields, body, True
+                    return body, True
         if "content-length" in fields or not eof_ends_body:
             body = await reader.readexactly(int(fields.get("content-length", 0)))
         else:
             body = await reader.read()
     except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-        return lines[0], fields, body, False
-    return lines[0], fields, body, True
+        return body, False
+    return body, True
 
 
 class Proxy:
@@ -93,10 +116,10 @@
     async def accept(self, reader, writer):
         try:
             if self.mode == "reset":
-                return writer.transport.abort()
+                return reset(writer)
             to_reader, to_writer = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
-            return writer.transport.abort()
+            return reset(writer)
         self.writers |= {writer, to_writer}
         try:
             await asyncio.gather(self.copy(reader, to_writer, False), self.copy(to_reader, writer, True))
@@ -116,11 +139,11 @@
                 await writer.drain()
             writer.write_eof()
         except (OSError, RuntimeError):
-            writer.transport.abort()
+            reset(writer)
 
     def reset_all(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
 
 class Store:
@@ -197,7 +220,7 @@
             return
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
         await asyncio.sleep(down_s)
         self.born += 1
         self.leaving, self.pausing, self.limit, self.limited_since = False, False, None, None
@@ -239,11 +262,13 @@
         refusal = None
         try:
             while True:
-                line, fields, _, complete = await read_message(reader)
-                if not complete:
+                line, fields = await read_head(reader)
+                request, router = fields.get("x-attempt-id", ""), fields.get("x-router", "")
+                if self.fault == "early" and int(fields.get("content-length", 0)) == LONG_BODY_BYTES:
+                    return await self.answer_early(writer, fields, request, router)
+                if not (await read_body(reader, fields, False))[1]:
                     return
                 now = time.monotonic()
-                request, router = fields.get("x-attempt-id", ""), fields.get("x-router", "")
                 self.check_arrival(router, float(fields.get("x-sent-at", 0)), now)
                 mark = f"X-Attempt-Id: {request}\r\nKeep-Alive: timeout=5\r\n" + self.statement(router, now)
                 if fields.get("x-expect-instance") != self.name:
@@ -256,7 +281,8 @@
                     if refusal and self.fault == "repeat":
                         writer.write(f"{refusal}\r\n".encode())
                         refusal = None
-                    await self.run(writer, line, fields, request, mark)
+                    if not await self.run(writer, line, fields, request, mark):
+                        return
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError, ValueError):
             pass
@@ -264,42 +290,77 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def answer_early(self, writer, fields, request, router):
+        """Sends half of an answer without a length before the request is read, and resets the connection."""
+        now = time.monotonic()
+        self.check_arrival(router, float(fields.get("x-sent-at", 0)), now)
+        if fields.get("x-expect-instance") == self.name:
+            self.soak.runs[request].append(self.name)
+            body = "ran " + request
+            writer.write(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request}\r\nX-Response-Seal: {self.seal}\r\n"
+                         f"{self.statement(router, now)}\r\n{body[:len(body) // 2]}".encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        reset(writer)
+
     async def run(self, writer, line, fields, request, mark):
+        """Answers a request. Returns whether the connection can be used again."""
         self.soak.runs[request].append(self.name)
         fault = self.fault if self.soak.random.random() < 0.3 else None
         mark += f"X-Response-Seal: {self.seal}\r\n"
         await asyncio.sleep(0.01)
         if fault == "lost":
-            return writer.transport.abort()
+            reset(writer)
+            return False
         if fault == "head":
             writer.write(f"HTTP/1.1 200 OK\r\n{mark}".encode())
             await writer.drain()
-            return writer.close()
+            return False
         if fault == "error":
-            return writer.write(f"HTTP/1.1 500 x\r\n{mark}Content-Length: 5\r\n\r\nerror".encode())
+            writer.write(f"HTTP/1.1 500 x\r\n{mark}Content-Length: 5\r\n\r\nerror".encode())
+            return True
+        if fault == "status":
+            status = self.soak.random.choice(["000", "0200", "2 0", "099", "700"])
+            writer.write(f"HTTP/1.1 {status} x\r\n{mark}Content-Length: 5\r\n\r\nwrong".encode())
+            return True
         if "/stream/" not in line:
-            body = "ran " + request
-            part = body[:3] if fault == "short" else body
-            writer.write(f"HTTP/1.1 200 OK\r\n{mark}Content-Length: {len(body)}\r\n\r\n{part}".encode())
-            if fault == "extra":
-                writer.write(f"HTTP/1.1 200 OK\r\n{mark}Content-Length: 5\r\n\r\nextra".encode())
-            if fault == "short":
-                await writer.drain()
-                writer.close()
-            return None
-        writer.write(f"HTTP/1.1 200 OK\r\n{mark}Content-Type: text/event-stream\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n".encode())
-        for event in range(int(fields.get("last-event-id") or 0) + 1, EVENTS + 1):
+            return await self.answer_whole(writer, request, mark, fault)
+        return await self.answer_stream(writer, int(fields.get("last-event-id") or 0), request, mark, fault)
+
+    async def answer_whole(self, writer, request, mark, fault):
+        body = "ran " + request
+        unframed = fault in ("unframed", "unframed_short")
+        broken = fault in ("short", "unframed_short")
+        length = "" if unframed else f"Content-Length: {len(body)}\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{mark}{length}\r\n{body[:3] if broken else body}".encode())
+        if fault == "extra":
+            writer.write(f"HTTP/1.1 200 OK\r\n{mark}Content-Length: 5\r\n\r\nextra".encode())
+        await writer.drain()
+        if fault == "unframed_short":
+            reset(writer)
+        return not unframed and not broken
+
+    async def answer_stream(self, writer, position, request, mark, fault):
+        unframed = fault in ("unframed", "unframed_short")
+        broken = fault in ("short", "unframed_short") and position < EVENTS
+        last = self.soak.random.randint(position, EVENTS - 1) if broken else EVENTS
+        coding = "" if unframed else "Transfer-Encoding: chunked\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{mark}Content-Type: text/event-stream\r\n{coding}\r\n".encode())
+        for event in range(position + 1, last + 1):
             text = f"id: {event}\ndata: {request}-{event}\n\n"
-            if fault == "short" and event == EVENTS // 2:
-                writer.write(f"{len(text):x}\r\n{text[:9]}".encode())
-                await writer.drain()
-                return writer.transport.abort()
-            writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
+            writer.write((text if unframed else f"{len(text):x}\r\n{text}\r\n").encode())
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE_S)
-        writer.write(b"0\r\n\r\n")
-        return None
+        if last == EVENTS:
+            writer.write(b"" if unframed else b"0\r\n\r\n")
+            return not unframed
+        part = f"id: {last + 1}\nda"[:self.soak.random.choice([0, 3, 9])]
+        writer.write(part.encode() if unframed else f"40\r\n{part}".encode())
+        await writer.drain()
+        # Without a length, a reset or an event that is cut shows that the stream is not complete.
+        if not unframed or not part or self.soak.random.random() < 0.5:
+            reset(writer)
+        return False
 
 
 class Router:
@@ -409,7 +470,7 @@
                            route("look", "safe", "orders", 2, 3000, False, False),
                            route("stream", "streaming", "texts", 3, 6000, True, True)],
                 "services": [{"name": name, "health_path": "/healthz", "max_connections": 200} for name in ("orders", "texts")],
-                "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+                "limits": {"max_header_bytes": 16384, "max_body_bytes": LONG_BODY_BYTES, "header_timeout_ms": 3000,
                            "idle_timeout_ms": 15000},
                 "tenants": [{"name": "a", "api_keys": ["key"], "priority": 1}]}
 
@@ -419,8 +480,8 @@
         tasks, version = [], 1
         while time.monotonic() < end:
             kind = self.schedule_random.choice(["term", "kill", "freeze", "hup", "link", "reset", "upstream_link", "crash",
-                                                "fault", "leave", "pause", "limit", "store", "store_silent", "config",
-                                                "calm"])
+                                                "fault", "fault", "fault", "leave", "pause", "limit", "store",
+                                                "store_silent", "config", "calm"])
             version += 1
             tasks.append(asyncio.create_task(self.inject(kind, version)))
             await asyncio.sleep(self.schedule_random.uniform(0.3, 1.2))
@@ -481,7 +542,8 @@
             await upstream.crash(time_s)
             self.faults.append((start, time.monotonic()))
         elif kind == "fault":
-            upstream.fault = self.schedule_random.choice(["lost", "head", "error", "short", "extra", "repeat"])
+            upstream.fault = self.schedule_random.choice(["lost", "head", "error", "short", "extra", "repeat", "status",
+                                                          "unframed", "unframed_short", "early"])
             await asyncio.sleep(time_s)
             upstream.fault = None
             self.faults.append((start, time.monotonic()))
@@ -502,10 +564,11 @@
         return None
 
     async def client(self, number):
-        count, connection, router = 0, None, None
+        count, connection, router, position = 0, None, None, 0
         while self.running:
             count += 1
-            path = self.random.choice(["order", "look", "stream"])
+            path = "stream" if position else self.random.choice(["order", "look", "stream"])
+            body = b"b" * LONG_BODY_BYTES if path != "stream" and self.random.random() < LONG_BODY_SHARE else b"hi"
             request = f"c{number}n{count}"
             if connection is None:
                 router = self.random.choice(self.routers)
@@ -514,17 +577,22 @@
                 except (OSError, asyncio.TimeoutError):
                     await asyncio.sleep(0.1)
                     continue
+            resumption = f"Last-Event-Id: {position}\r\n" if position else ""
             start = time.monotonic()
             reader, writer = connection
             try:
                 writer.write(f"POST /{path}/{count} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {request}\r\n"
                              f"X-Deadline-Ms: 4000\r\nAuthorization: Bearer key\r\nX-Router: {router.incarnation}\r\n"
-                             f"X-Sent-At: {start}\r\nContent-Length: 2\r\n\r\nhi".encode())
+                             f"X-Sent-At: {start}\r\n{resumption}"
+                             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
                 if path == "order":
                     self.unrepeatable.add(request)
                 line, fields, body, complete = await asyncio.wait_for(read_message(reader, True), 8)
                 keep = complete and fields.get("connection") != "close"
-                self.check_answer(path, request, line, fields, body, complete, start)
+                self.check_answer(path, request, line, fields, body, complete, start, position)
+                position += body.count(b"\n\n") if path == "stream" and " 200 " in line else 0
+                if complete or position == EVENTS or self.random.random() > RESUMED_SHARE:
+                    position = 0
             except (asyncio.IncompleteReadError, asyncio.TimeoutError, OSError) as error:
                 keep = False
                 partial = getattr(error, "partial", b"")
@@ -538,9 +606,11 @@
         if connection is not None:
             connection[1].transport.abort()
 
-    def check_answer(self, path, request, line, fields, body, complete, start):
+    def check_answer(self, path, request, line, fields, body, complete, start, position):
         status = int(line.split(" ")[1])
         self.answers[status] += 1
+        if not 200 <= status <= 599:
+            self.fail("mixed", f"{request} got {line!r}")
         if status in NOT_RUN_STATUSES:
             self.promised.add(request)
         if fields.get("x-attempt-id", request) != request:
@@ -549,7 +619,7 @@
             if "x-response-seal" not in fields or (complete and body != b"ran " + request.encode()):
                 self.fail("mixed", f"{request} got {body[:60]!r}")
         if status == 200 and path == "stream":
-            whole = b"".join(f"id: {i}\ndata: {request}-{i}\n\n".encode() for i in range(1, EVENTS + 1))
+            whole = b"".join(f"id: {i}\ndata: {request}-{i}\n\n".encode() for i in range(position + 1, EVENTS + 1))
             if not whole.startswith(body) or (complete and body != whole):
                 self.fail("order", f"{request} got {body[-80:]!r}, {'complete' if complete else 'cut'}")
         if not complete:
