--- a/src/edge/host.h
+++ b/src/edge/host.h
@@ -58,7 +58,9 @@
     host* host_ = nullptr;
 };
 
-/// Returns a loopback port that was free at the time of the call, or 0 if there is none.
+/// Returns a loopback port that was free at the time of the call, or 0 if there is none. The system does not
+/// give the port to another socket by itself, and no two calls in a process return the same port soon. Thread
+/// safety: may be called by any thread.
 std::uint16_t free_port();
 
 } // namespace bluebell::edge
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -8,8 +8,10 @@
 
 #include <catch2/catch.hpp>
 #include <cxxtools/net/tcpsocket.h>
+#include <fstream>
 #include <functional>
 #include <future>
+#include <set>
 
 using namespace bluebell;
 using namespace std::chrono_literals;
@@ -266,6 +268,21 @@
     CHECK(contains(body, "event: outcome\ndata: {\"outcome\":\"ran\",\"request_id\":\""));
 }
 
+// Guards against "address in use": the system had given the port of a test to another socket before it was
+// used.
+TEST_CASE("a free port is none that the system gives out, and differs from those found before") {
+    std::ifstream range("/proc/sys/net/ipv4/ip_local_port_range");
+    std::uint16_t first_given_out = 0;
+    REQUIRE(range >> first_given_out);
+    std::set<std::uint16_t> found;
+    for (int i = 0; i < 100; ++i) {
+        const std::uint16_t port = edge::free_port();
+        CHECK(port > 0);
+        CHECK(port < first_given_out);
+        CHECK(found.insert(port).second);
+    }
+}
+
 TEST_CASE("an answer that is not streamed keeps its content type and outcome on a reused connection") {
     edge_fixture fixture;
     test_caller client(fixture.address);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,6 +1,7 @@
 #include "base/metrics.h"
 #include "base/supervisor.h"
 #include "dispatch/worker.h"
+#include "edge/host.h"
 #include "platform/dialect.h"
 #include "relay/admission.h"
 #include "relay/relay.h"
@@ -18,14 +19,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using tests::fake_server;
-using tests::port_of;
 using tests::wire;
 
-std::uint16_t free_port() {
-    const http::descriptor probe = std::move(*http::listen_on({"127.0.0.1", 0}));
-    return port_of(probe);
-}
-
 std::string ok_answer(const std::string& request_id, const std::string& body,
                       const std::string& extra_fields = "") {
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request_id + "\r\nX-Response-Seal: s\r\n" + extra_fields +
@@ -55,7 +50,7 @@
     explicit router_fixture(std::size_t max_callers = 1000, std::size_t listed_upstreams = 2,
                             std::size_t max_body_bytes = 100000)
         : listed_upstreams_(listed_upstreams), max_body_bytes_(max_body_bytes), events_(1024),
-          commands_(1024), datagrams_(64), port_(free_port()),
+          commands_(1024), datagrams_(64), port_(edge::free_port()),
           supervisor_("test", base::restart_strategy::one_for_one, {0, seconds(1)}, clock_) {
         dispatch::dispatcher_settings decision_settings;
         decision_settings.member.self = base::vm_id("r1");
