Continue a stream only at the software version that began it

Callers got one answer whose events came from two software versions: an upstream broke off, and the router continued the stream at any other one of the pool. No code read the version of an entry in the list of upstreams.

The version of the upstream that wrote the first event binds the stream: it is continued at an upstream of that version or not at all. An attempt that fails before its first event binds nothing.

Requests that resume a stream over two answers are not covered yet.

--- a/src/base/id.h
+++ b/src/base/id.h
@@ -63,6 +63,10 @@
 /// Hash of the identity of the caller and of the request: of client account, pool, method, path and body in
 /// src/edge, of API key, request target and body in src/relay.
 using fingerprint = identifier<struct fingerprint_tag, std::uint64_t>;
+/// Version of the software that an upstream runs. Versions have no order.
+using software_version = identifier<struct software_version_tag, std::string>;
+/// Hash of the id of the caller's request that brought the first event of a stream.
+using stream_key = identifier<struct stream_key_tag, std::uint64_t>;
 using grant_id = identifier<struct grant_tag, std::uint64_t>;
 using partition_id = identifier<struct partition_tag, std::uint16_t>;
 
--- a/src/decision/upstreams.h
+++ b/src/decision/upstreams.h
@@ -23,6 +23,8 @@
     /// Start time of the upstream process in ms; distinguishes a restarted upstream, which may keep its id,
     /// from the earlier process.
     std::int64_t started_ms = 0;
+    /// Software of the upstream process; empty if it is not known.
+    base::software_version version;
 };
 
 /// One change of the list of upstreams. `entry` is empty if the upstream is gone, or if its new entry is not
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -471,6 +471,7 @@
     placement_needs.prompt = &request.prompt;
     placement_needs.memory_tokens = request.memory_tokens;
     placement_needs.excluded = &request.tried_upstreams;
+    placement_needs.version = request.stream_version ? &*request.stream_version : nullptr;
     placement_needs.capacity_share = capacity_share(request, late);
     const base::duration elapsed = request.earlier_attempts_time + (now_ - request.arrived);
     placement_needs.latency_target =
@@ -500,6 +501,7 @@
     ++request.attempt;
     ++request.upstreams_used;
     request.target = choice.upstream;
+    request.target_version = entry->version;
     request.tokens_ahead = choice.tokens_ahead;
     request.placed = {1, choice.uncached_tokens, request.memory_tokens};
     request.sent_at = now_;
@@ -653,6 +655,9 @@
     session& request = found->second;
     release_placed_work(request);
     request.tried_upstreams.insert(request.target);
+    if (attempt.events > 0 && !request.stream_version) {
+        request.stream_version = request.target_version;
+    }
     ++counters_[std::string(dispatch::to_string(attempt.outcome))];
     switch (attempt.outcome) {
     case attempt_outcome::delivered:
@@ -740,8 +745,9 @@
     const bool unsent = attempt.outcome == attempt_outcome::unsent;
     const bool not_run = unsent || attempt.outcome == attempt_outcome::refused ||
                          attempt.outcome == attempt_outcome::misdirected;
-    const bool may_go_on =
-        request.route->kind == route_kind::streaming && request.route->resumable && attempt.position_known;
+    const bool may_go_on = request.route->kind == route_kind::streaming && request.route->resumable &&
+                           attempt.position_known &&
+                           (!request.stream_version || !request.stream_version->value().empty());
     const bool may_run_again =
         attempt.outcome == attempt_outcome::cut ? may_go_on : request.route->repeatable();
     if ((!not_run && !may_run_again) || request.upstreams_used >= request.route->max_attempts ||
@@ -756,6 +762,7 @@
     placement_needs.prompt = &request.prompt;
     placement_needs.memory_tokens = request.memory_tokens;
     placement_needs.excluded = &request.tried_upstreams;
+    placement_needs.version = request.stream_version ? &*request.stream_version : nullptr;
     const placement_options options = placement_.consider(placement_needs, now_);
     if (!options.best) {
         request.limit = find_limit(request, options);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -117,6 +117,10 @@
         std::uint32_t upstreams_used = 0;
         std::set<base::upstream_id> tried_upstreams;
         base::upstream_id target;
+        /// Software of the target, as listed when the request was sent.
+        base::software_version target_version;
+        /// Software that wrote the events which the caller has; empty while it has none.
+        std::optional<base::software_version> stream_version;
         placed_work placed;
         token_count tokens_ahead;
         base::time_point sent_at;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -131,7 +131,7 @@
     /// HTTP status of the answer; zero if there was none.
     int status = 0;
     std::optional<load_report> load;
-    /// Events of a stream that were passed on in this attempt.
+    /// Events of a stream that were passed on in this and earlier attempts.
     std::uint32_t events = 0;
     /// False if the caller has an event without an id, so that a stream cannot go on after it.
     bool position_known = true;
--- a/src/dispatch/feed.cpp
+++ b/src/dispatch/feed.cpp
@@ -16,13 +16,13 @@
 std::size_t estimated_bytes(const upstream_change& change) {
     return entry_bytes + change.id.value().size() +
            (change.entry ? change.entry->pool.value().size() + change.entry->data_centre.value().size() +
-                               change.entry->address.address.size()
+                               change.entry->address.address.size() + change.entry->version.value().size()
                          : 0);
 }
 
 bool equal(const upstream_entry& a, const upstream_entry& b) {
-    return std::tie(a.id, a.pool, a.address, a.data_centre, a.slots, a.phase, a.started_ms) ==
-           std::tie(b.id, b.pool, b.address, b.data_centre, b.slots, b.phase, b.started_ms);
+    return std::tie(a.id, a.pool, a.address, a.data_centre, a.slots, a.phase, a.started_ms, a.version) ==
+           std::tie(b.id, b.pool, b.address, b.data_centre, b.slots, b.phase, b.started_ms, b.version);
 }
 
 } // namespace
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace bluebell::dispatch {
@@ -548,13 +549,33 @@
            used + needed <= memory * max_memory_share;
 }
 
+std::vector<placement::candidate> placement::with_version(const std::vector<candidate>& upstreams,
+                                                          const base::software_version& version) {
+    std::vector<candidate> matching;
+    std::copy_if(upstreams.begin(), upstreams.end(), std::back_inserter(matching),
+                 [&](const candidate& upstream) { return upstream.entry->version == version; });
+    return matching;
+}
+
+bool placement::serves(const base::pool_id& pool, const base::software_version& version) const {
+    const auto found = ready_.find(pool);
+    return found != ready_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](const candidate& upstream) { return upstream.entry->version == version; });
+}
+
 placement_options placement::consider(const placement_request& request, base::time_point now) {
     const auto found = ready_.find(request.pool);
     if (found == ready_.end() || !catalogue_) {
         return {};
     }
     const engine_traits* const engine = catalogue_->engine(request.pool);
-    const std::vector<candidate>& ready = found->second;
+    const std::vector<candidate> same_version =
+        request.version == nullptr ? std::vector<candidate>() : with_version(found->second, *request.version);
+    const std::vector<candidate>& ready = request.version == nullptr ? found->second : same_version;
+    if (ready.empty()) {
+        return {};
+    }
     const candidate* const preferred = engine != nullptr ? preferred_engine(request) : nullptr;
     const cache_holders holders =
         engine != nullptr ? find_cache_holders(request, *engine, ready, now) : cache_holders{};
@@ -588,7 +609,8 @@
         choice.upstream = entry.id;
         base::duration cost{};
         if (engine != nullptr) {
-            cost = estimate_cost(request, ready[i], preferred == &ready[i], *engine, model, holders,
+            const bool is_preferred = preferred != nullptr && preferred->entry == &entry;
+            cost = estimate_cost(request, ready[i], is_preferred, *engine, model, holders,
                                  holders.cached_tokens[i], choice);
             choice.full = !has_capacity(
                 entry, state, engine, request.memory_tokens,
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -28,6 +28,8 @@
     token_count memory_tokens;
     /// Upstreams that must not be chosen.
     const std::set<base::upstream_id>* excluded = nullptr;
+    /// Only upstreams with this software may be chosen; null for any.
+    const base::software_version* version = nullptr;
     /// A first event within this time is early enough; being faster is worth little.
     base::duration latency_target{};
     /// Weight of the time that an engine spends on shared parts which another engine has cached.
@@ -165,6 +167,8 @@
     [[nodiscard]] std::optional<pool_pause> pause_of(const base::pool_id& pool, base::time_point now) const;
     /// Number of upstreams of the pool that take new work.
     [[nodiscard]] std::size_t ready_count(const base::pool_id& pool) const;
+    /// Returns true if an upstream of the pool takes new work and runs this software.
+    [[nodiscard]] bool serves(const base::pool_id& pool, const base::software_version& version) const;
     /// Share of the slots of all ready engines that the fleet's requests occupy.
     [[nodiscard]] double engine_occupancy() const;
     /// Mean load of the ready engines, each by its slots in use or by the time that it takes to read what it
@@ -193,6 +197,8 @@
         const upstream_entry* entry = nullptr;
         upstream_state* state = nullptr;
     };
+    [[nodiscard]] static std::vector<candidate> with_version(const std::vector<candidate>& upstreams,
+                                                             const base::software_version& version);
     /// Prompt tokens that each of the ready engines probably has cached, and the two engines with most of
     /// them that may serve as a copy source.
     struct cache_holders {
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -775,6 +775,7 @@
     write(out, static_cast<std::uint64_t>(entry.slots.value()));
     write_enum(out, entry.phase);
     write(out, static_cast<std::uint64_t>(entry.started_ms));
+    write(out, entry.version);
 }
 
 void read(input_archive& in, decision::upstream_entry& entry) {
@@ -790,6 +791,7 @@
     std::uint64_t started_ms = 0;
     read(in, started_ms);
     entry.started_ms = static_cast<std::int64_t>(started_ms);
+    read(in, entry.version);
 }
 
 void write(output_archive& out, const decision::upstream_list_update& body) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -47,6 +47,7 @@
     entry.slots = base::slot_count(64);
     entry.phase = decision::upstream_phase::draining;
     entry.started_ms = 1'790'000'000'000;
+    entry.version = base::software_version("v2.1");
     return entry;
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -59,6 +59,13 @@
     result.address = {"127.0.0.1", 9000};
     result.data_centre = base::data_centre_id("x");
     result.slots = base::slot_count(slots);
+    result.version = base::software_version("v1");
+    return result;
+}
+
+upstream_entry make_upstream_with(const std::string& name, const std::string& version) {
+    upstream_entry result = make_upstream(name, model_pool, 10);
+    result.version = base::software_version(version);
     return result;
 }
 
@@ -127,6 +134,26 @@
         handle(finished);
     }
 
+    /// Puts a configuration in force in which broken streams may go on.
+    void allow_resumption() {
+        std::shared_ptr<catalogue> resumable = make_catalogue(2);
+        resumable->routes[0].resumable = true;
+        handle(catalogue_read{resumable, now_});
+    }
+    /// The answer breaks off after this many events.
+    void break_off(session_id id, std::uint32_t events) {
+        const send_request* const order = sent(id);
+        REQUIRE(order != nullptr);
+        handle(answer_started{id, order->attempt});
+        attempt_finished finished;
+        finished.id = id;
+        finished.attempt = order->attempt;
+        finished.outcome = attempt_outcome::cut;
+        finished.status = 200;
+        finished.events = events;
+        handle(finished);
+    }
+
     /// The last order to send a request, and its end; null if there is none.
     const send_request* sent(session_id id) const { return last_of<send_request>(id); }
     const end_request* ended(session_id id) const { return last_of<end_request>(id); }
@@ -835,6 +862,44 @@
     CHECK((router.ended(id) == nullptr) == report.position_known);
 }
 
+// Guards against answers joined of two software versions after an upstream broke off.
+TEST_CASE("a stream goes on within an answer only at the software version that wrote its first event") {
+    dispatcher_fixture router({make_upstream_with("m1", "v1"), make_upstream_with("m2", "v1"),
+                               make_upstream_with("m3", "v2"), make_upstream_with("m4", "v2"),
+                               make_upstream_with("m5", "v2"), make_upstream_with("m6", "v2")});
+    router.allow_resumption();
+    const std::map<base::upstream_id, std::string> versions{
+        {base::upstream_id("m1"), "v1"}, {base::upstream_id("m2"), "v1"}, {base::upstream_id("m3"), "v2"},
+        {base::upstream_id("m4"), "v2"}, {base::upstream_id("m5"), "v2"}, {base::upstream_id("m6"), "v2"}};
+    for (int i = 0; i < 4; ++i) {
+        const session_id id = router.request("/text/1", "key-a");
+        const base::upstream_id first = router.sent(id)->target.id;
+        router.break_off(id, 3);
+        REQUIRE(router.sent(id)->attempt == 2);
+        CHECK(versions.at(router.sent(id)->target.id) == versions.at(first));
+        router.finish(id, attempt_outcome::delivered);
+    }
+}
+
+TEST_CASE("a stream is cut if no upstream has the software version that wrote its first event") {
+    dispatcher_fixture router({make_upstream_with("m1", "v1"), make_upstream_with("m2", "v2")});
+    router.allow_resumption();
+    const session_id id = router.request("/text/1", "key-a");
+    const std::uint32_t events = GENERATE(0U, 1U);
+    router.break_off(id, events);
+    CHECK((router.ended(id) != nullptr) == (events > 0));
+    CHECK(router.sent(id)->attempt == (events > 0 ? 1 : 2));
+}
+
+TEST_CASE("a stream of an upstream whose software version is not known is not continued") {
+    dispatcher_fixture router({make_upstream_with("m1", ""), make_upstream_with("m2", "")});
+    router.allow_resumption();
+    const session_id id = router.request("/text/1", "key-a");
+    router.break_off(id, 1);
+    CHECK(router.sent(id)->attempt == 1);
+    CHECK(router.ended(id) != nullptr);
+}
+
 TEST_CASE("a request that crashed three upstreams is not sent to a fourth one") {
     dispatcher_fixture router({make_upstream("p1", plain_pool, 4), make_upstream("p2", plain_pool, 4),
                                make_upstream("p3", plain_pool, 4), make_upstream("p4", plain_pool, 4)});
--- a/tests/feed_test.cpp
+++ b/tests/feed_test.cpp
@@ -23,6 +23,7 @@
     entry.pool = base::pool_id("model");
     entry.address = {"10.0.0.1", 9000};
     entry.started_ms = started_ms;
+    entry.version = base::software_version("v" + std::to_string(started_ms));
     return entry;
 }
 
@@ -62,7 +63,7 @@
         return std::equal(list.begin(), list.end(), expected.begin(), expected.end(),
                           [](const auto& a, const auto& b) {
                               return a.first == b.first && a.second.started_ms == b.second.started_ms &&
-                                     a.second.phase == b.second.phase;
+                                     a.second.phase == b.second.phase && a.second.version == b.second.version;
                           });
     }
 };
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -22,7 +22,7 @@
 std::string upstream_object(const std::string& name, const std::string& extra_fields = "") {
     return R"({"metadata":{"name":")" + name +
            R"(","revision":3},"spec":{"service":"s","address":"10.0.0.1:80",)" +
-           R"("zone":"z","slots":4,"state":"ready")" + extra_fields + "}}";
+           R"("zone":"z","version":"v1","slots":4,"state":"ready")" + extra_fields + "}}";
 }
 
 /// An array or object of `levels` levels.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -141,7 +141,8 @@
 TEST_CASE("an upstream entry with missing, mistyped or unknown values is refused") {
     REQUIRE(platform::decode_upstream("u", upstream_spec()));
     CHECK(platform::decode_upstream("u", upstream_spec())->started_ms == 1700000000123);
-    for (const char* const field : {"service", "address", "slots", "state"}) {
+    CHECK(platform::decode_upstream("u", upstream_spec())->version.value() == "v1");
+    for (const char* const field : {"service", "address", "slots", "state", "version"}) {
         json incomplete = upstream_spec();
         incomplete.erase(field);
         CHECK_FALSE(platform::decode_upstream("u", incomplete));
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -158,6 +158,7 @@
             entry.pool = pool;
             entry.address = {"127.0.0.1", upstreams_.at(i).port()};
             entry.slots = base::slot_count(50);
+            entry.version = base::software_version("v1");
             roster.entries.push_back(entry);
         }
         events_.push(roster, seconds(1));
