Begin a resumable stream only at the process that the list shows

An upstream may start again under its id with newer software. Until its entry has changed and reached a router, the router takes it for the earlier process: a stream began there under the wrong version, and went on elsewhere at that version.

A router asks each connection once, before the first resumable stream on it, for the start time of the process, and compares it with the entry. A connection leads to the same process until it is closed, so that this holds for all later streams on it. If the process is another one, or the connection breaks, no byte of the request was sent, and it goes to another upstream. A stream of an upstream that does not answer begins, but is not continued or resumed.

--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -89,7 +89,7 @@
     held,        ///< a whole answer that reports a failure is held back by the relay
     refused,     ///< the upstream states that it did not run the request
     misdirected, ///< another upstream has the address
-    unsent,      ///< no connection; no byte of the request was sent
+    unsent,      ///< no connection to the listed process; no byte of the request was sent
     lost,        ///< the connection ended before any of the answer was passed on
     garbled,     ///< bytes that are no complete answer, none of which was passed on
     cut,         ///< the answer ended early after a part of it was passed on
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -82,6 +82,11 @@
                                                                   const attempt_info& attempt) const = 0;
     /// Reads the head of an upstream's answer.
     [[nodiscard]] virtual answer_info read_answer(const http::response_head& head) const = 0;
+    /// Returns a request that asks an upstream about its state. Nothing runs there for it.
+    [[nodiscard]] virtual std::string state_request(const decision::endpoint& upstream) const = 0;
+    /// Reads the start time of the upstream process, in ms, from the body of the answer to a state request.
+    /// Empty if it cannot be read.
+    [[nodiscard]] virtual std::optional<std::int64_t> read_start_time(const std::string& state) const = 0;
     /// Returns the fields of an upstream's answer that are forwarded to the caller.
     [[nodiscard]] virtual std::vector<http::field> answer_fields(const http::response_head& head) const = 0;
     /// Returns the fields of an answer that the router makes itself. `retry_after` is the time after which
--- a/src/relay/link.h
+++ b/src/relay/link.h
@@ -74,6 +74,11 @@
     void release();
     /// Pauses or resumes reading, for backpressure from a slow caller.
     void pause_reading(bool paused);
+    /// Records which process of the upstream the connection leads to, by its start time in ms. It leads to no
+    /// other one until it is closed.
+    void set_process(std::int64_t started_ms) { process_ = started_ms; }
+    /// Returns the start time of the process, in ms; empty if it is not known.
+    [[nodiscard]] std::optional<std::int64_t> process() const { return process_; }
     /// Sets the time for which the upstream keeps an idle connection open.
     void set_idle_timeout(base::duration idle_timeout) { idle_timeout_ = idle_timeout; }
 
@@ -141,6 +146,7 @@
     bool reusable_ = true;
     bool reading_paused_ = false;
     bool ended_by_close_ = false;
+    std::optional<std::int64_t> process_;
     /// Idle timeout that the upstream stated, if any.
     std::optional<base::duration> idle_timeout_;
     base::time_point idle_since_;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -28,6 +28,7 @@
 /// Interval at which a repeated statement of an upstream is reported again.
 constexpr base::duration statement_report_interval = std::chrono::milliseconds(250);
 constexpr std::string_view event_stream_type = "text/event-stream";
+constexpr int status_ok = 200;
 constexpr int success_status_class = 2;
 constexpr int first_server_error_status = 500;
 
@@ -118,8 +119,9 @@
 }
 
 bool relay::reached_upstream(const exchange& session) {
-    const bool connecting = session.upstream_link != nullptr && session.upstream_link->connecting();
-    return session.command.attempt > (connecting ? 1U : 0U);
+    const bool unsent =
+        session.checking_process || (session.upstream_link != nullptr && session.upstream_link->connecting());
+    return session.command.attempt > (unsent ? 1U : 0U);
 }
 
 base::error_code relay::stop_cause() const {
@@ -318,7 +320,9 @@
             continue;
         }
         ++open;
-        if ((*candidate)->address() != command.target.address) {
+        const std::optional<std::int64_t> process = (*candidate)->process();
+        if ((*candidate)->address() != command.target.address ||
+            (process && *process != command.target.started_ms)) {
             continue;
         }
         if (may_reuse && (*candidate)->usable(!command.repeatable, now)) {
@@ -379,7 +383,52 @@
         return report_attempt_finished(*session, attempt_outcome::unsent);
     }
     session->upstream_link = upstream_link;
-    upstream_link->start(command.id, request_text(*session), session->head.method != "HEAD", *this);
+    session->process_known = true;
+    session->checking_process = needs_process_check(*session, *upstream_link);
+    if (session->checking_process) {
+        upstream_link->start(command.id, dialect_.state_request(command.target.address), true, *this);
+    } else {
+        upstream_link->start(command.id, request_text(*session), session->head.method != "HEAD", *this);
+    }
+}
+
+/// An upstream may have started again with other software, under its id and before the list shows it. Only
+/// streams that may be continued depend on which process writes them.
+bool relay::needs_process_check(const exchange& session, const link& connection) {
+    const std::int64_t listed = session.command.target.started_ms;
+    return session.command.resumable && listed != 0 && connection.process() != listed;
+}
+
+void relay::finish_process_check(exchange& session, link& connection) {
+    session.checking_process = false;
+    const std::string state = std::exchange(session.buffered, {});
+    const int status = std::exchange(session.answer_head, {}).status;
+    session.answer_head.status = 0; // no answer to the request yet
+    const std::optional<std::int64_t> started_ms =
+        status == status_ok ? dialect_.read_start_time(state) : std::nullopt;
+    if (started_ms && *started_ms != session.command.target.started_ms) {
+        base::log_event(base::log_level::info, name(), "process_not_listed",
+                        {{"request", session.request.caller_request_id},
+                         {"upstream", session.command.target.id.value()},
+                         {"listed_ms", session.command.target.started_ms},
+                         {"started_ms", *started_ms}});
+        return report_unsent(session);
+    }
+    if (connection.closed()) {
+        return report_unsent(session);
+    }
+    session.process_known = started_ms.has_value();
+    if (started_ms) {
+        connection.set_process(*started_ms);
+    }
+    connection.start(session.id, request_text(session), session.head.method != "HEAD", *this);
+}
+
+void relay::report_unsent(exchange& session) {
+    session.checking_process = false;
+    session.buffered.clear();
+    std::exchange(session.upstream_link, nullptr)->close();
+    report_attempt_finished(session, attempt_outcome::unsent);
 }
 
 void relay::execute(const dispatch::release_answer& command) {
@@ -426,6 +475,10 @@
         return false;
     }
     answer_info info = dialect_.read_answer(head);
+    if (session->checking_process) {
+        session->answer_head = head;
+        return !info.request_id; // otherwise a late answer to an earlier request
+    }
     const bool success = head.status / 100 == success_status_class;
     if (!answers_request(connection, *session, info, success)) {
         return false;
@@ -497,13 +550,16 @@
     if (session == nullptr) {
         return;
     }
-    if (!session->buffering) {
+    if (!session->buffering && !session->checking_process) {
         return forward_body(*session, bytes);
     }
     session->buffered.append(bytes);
     if (session->buffered.size() <= max_buffered_answer) {
         return;
     }
+    if (session->checking_process) {
+        return report_unsent(*session);
+    }
     const bool passable = session->answer.from_upstream && !session->answer.not_run &&
                           !session->answer.misdirected && !session->answer.unconfirmed_not_run &&
                           !session->head_sent;
@@ -568,6 +624,9 @@
     if (session == nullptr) {
         return;
     }
+    if (session->checking_process) {
+        return finish_process_check(*session, connection);
+    }
     const http::response_head& head = session->answer_head;
     const answer_info& info = session->answer;
     const bool success = head.status / 100 == success_status_class;
@@ -627,7 +686,8 @@
         return;
     }
     session->upstream_link = nullptr;
-    if (failure == link_failure::connect_failed) {
+    const bool checking = std::exchange(session->checking_process, false);
+    if (checking || failure == link_failure::connect_failed) {
         report_attempt_finished(*session, attempt_outcome::unsent);
     } else if (session->head_sent) {
         report_attempt_finished(*session, attempt_outcome::cut);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -131,6 +131,12 @@
     [[nodiscard]] static bool answers_request(const link& connection, const exchange& session,
                                               const answer_info& info, bool success);
     [[nodiscard]] std::string request_text(const exchange& session) const;
+    /// Returns true if the upstream has to be asked which of its processes the connection leads to.
+    [[nodiscard]] static bool needs_process_check(const exchange& session, const link& connection);
+    /// Sends the request if the connection leads to the process that the list shows.
+    void finish_process_check(exchange& session, link& connection);
+    /// Ends an attempt of which no byte was sent.
+    void report_unsent(exchange& session);
     /// Sends the head of a streamed answer to the caller.
     void begin_stream(exchange& session);
     /// Sends a part of the body to the caller; of a resumable stream, complete events only.
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -39,6 +39,12 @@
     return size.data() + text + "\r\n";
 }
 
+/// An answer of an upstream about its state.
+std::string state_answer(const std::string& body, const std::string& extra_fields = "") {
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + extra_fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string request(const std::string& path, const std::string& request_id,
                     const std::string& extra_fields = "", const std::string& method = "GET") {
     return method + ' ' + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + request_id +
@@ -48,10 +54,11 @@
 /// A relay and a dispatcher under a supervisor as in a router, with up to two upstreams that the test plays.
 class router_fixture {
 public:
+    /// `started_ms` is the start time of the upstream processes that the list shows; zero if it shows none.
     explicit router_fixture(std::size_t max_callers = 1000, std::size_t listed_upstreams = 2,
-                            std::size_t max_body_bytes = 100000)
-        : listed_upstreams_(listed_upstreams), max_body_bytes_(max_body_bytes), events_(1024),
-          commands_(1024), datagrams_(64), port_(edge::free_port()),
+                            std::size_t max_body_bytes = 100000, std::int64_t started_ms = 0)
+        : listed_upstreams_(listed_upstreams), max_body_bytes_(max_body_bytes), started_ms_(started_ms),
+          events_(1024), commands_(1024), datagrams_(64), port_(edge::free_port()),
           supervisor_("test", base::restart_strategy::one_for_one, {0, seconds(1)}, clock_) {
         dispatch::dispatcher_settings decision_settings;
         decision_settings.member.self = base::vm_id("r1");
@@ -161,6 +168,7 @@
             entry.address = {"127.0.0.1", upstreams_.at(i).port()};
             entry.slots = base::slot_count(50);
             entry.version = base::software_version("v1");
+            entry.started_ms = started_ms_;
             roster.entries.push_back(entry);
         }
         events_.push(roster, seconds(1));
@@ -180,6 +188,7 @@
 
     const std::size_t listed_upstreams_;
     const std::size_t max_body_bytes_;
+    const std::int64_t started_ms_;
     base::boot_clock clock_;
     base::metrics metrics_;
     platform::dialect dialect_;
@@ -945,6 +954,78 @@
     CHECK_FALSE(caller.ended());
 }
 
+TEST_CASE("a request that resumes an unknown stream gets a refusal at once that it did not run") {
+    router_fixture router;
+    wire caller = router.connect_caller();
+    const std::string named = GENERATE(as<std::string>(), "", "Resumes: t9\r\n");
+    caller.send(request("/long/1", "t1", "Last-Event-Id: 12\r\n" + named + "Content-Length: 0\r\n", "POST"));
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "HTTP/1.1 503"));
+    CHECK_FALSE(contains(answer, "Retry-After"));
+    CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
+}
+
+// Guards against streams joined of two versions: an upstream came back under its id, newer than the list
+// shows.
+TEST_CASE("a stream begins only at the process that the list shows") {
+    router_fixture router(1000, 2, 100000, 1700000000123);
+    wire caller = router.connect_caller();
+    caller.send(request("/long/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    CHECK(contains(first.read_request(), "GET /api/report HTTP/1.1\r\n"));
+    SECTION("another process has come up under its id") {
+        first.send(state_answer(R"({"born":1700000009999,"active":0})"));
+        CHECK(first.read_to_end().empty());
+    }
+    SECTION("the connection is reset") {
+        first.reset();
+    }
+    SECTION("a late answer to another request precedes the state") {
+        first.send(ok_answer("t7", R"({"born":1700000000123})") + state_answer(R"({"born":1700000009999})"));
+        CHECK(first.read_to_end().empty());
+    }
+    SECTION("the upstream closes the connection after it") {
+        first.send(state_answer(R"({"born":1700000000123})", "Connection: close\r\n"));
+    }
+    wire second = router.accept_any_upstream();
+    CHECK(contains(second.read_request(), "GET /api/report HTTP/1.1\r\n"));
+    second.send(state_answer(R"({"born":1700000000123})"));
+    CHECK(contains(second.read_request(), "POST /long/1 HTTP/1.1\r\n"));
+    second.send(stream_head("t1") + chunk("id: 1\ndata: 1\n\n") + "0\r\n\r\n");
+    CHECK(contains(caller.read_answer(), "data: 1\n\n"));
+    caller.send(request("/long/1", "t2", "Content-Length: 0\r\n", "POST"));
+    // The connection leads to the same process for as long as it is open.
+    CHECK(contains(second.read_request(), "POST /long/1 HTTP/1.1\r\n"));
+}
+
+TEST_CASE("a stream of an upstream that does not say which process it is begins, but is not continued") {
+    router_fixture router(1000, 2, 100000, 1700000000123);
+    wire caller = router.connect_caller();
+    caller.send(request("/long/1", "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    const std::string state =
+        GENERATE(as<std::string>(), "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", state_answer("{}"),
+                 state_answer("[1"), state_answer(R"({"born":"x"})"));
+    first.send(state);
+    CHECK(contains(first.read_request(), "POST /long/1 HTTP/1.1\r\n"));
+    first.send(stream_head("t1") + chunk("id: 1\ndata: 1\n\n"));
+    caller.read_until([](const std::string& text) { return contains(text, "data: 1\n\n"); });
+    first.reset();
+    caller.read_to_end();
+    CHECK(caller.ended());
+    CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
+}
+
+TEST_CASE("only streams that may be resumed ask which process the connection leads to") {
+    router_fixture router(1000, 2, 100000, 1700000000123);
+    wire caller = router.connect_caller();
+    const std::string path = GENERATE(as<std::string>(), "/text/1", "/look/1", "/order/1");
+    caller.send(request(path, "t1", "Content-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    CHECK(contains(first.read_request(), "POST " + path));
+}
+
 // Guards against events that come twice: an upstream that does not know the position begins the stream anew.
 TEST_CASE("an upstream that does not go on after the last event of a stream adds nothing to it") {
     router_fixture router;
