Let resumed streams go on under overload before new ones begin

The relay drew them by the share of their account like new requests, and the dispatcher held them to an objective that their first event has met or missed already.

A refused take-up wastes the part that the caller has, and the rest is less work than a whole stream. So the relay admits requests that resume a stream like cheap ones, the dispatcher places them before others, up to the whole of an engine's share, and lets them wait for a quarter of their time.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace bluebell::dispatch {
@@ -23,6 +24,8 @@
 constexpr double objective_target_share = 0.9;
 /// Share of the objective that a request may wait in the queue before it is refused.
 constexpr double max_queue_share = 0.4;
+/// Share of its time that a request which resumes a stream may wait in the queue.
+constexpr double max_resumption_queue_share = 0.25;
 /// Queueing delay at the engine, as a share of the objective, that is accepted even for a request that will
 /// miss its objective.
 constexpr double late_delay_share = 0.15;
@@ -451,6 +454,9 @@
 /// free for others, late or not: otherwise those that are just within their share fill every engine up to the
 /// same limit, and the remaining accounts are refused whatever they have got.
 double dispatcher::capacity_share(const session& request, bool late) const {
+    if (request.resumes) {
+        return 1;
+    }
     const double full_share = delegation_.needed() ? delegated_capacity_share : 1;
     const double fair =
         full_share * std::min(late ? late_capacity_share : 1.0,
@@ -465,7 +471,7 @@
 }
 
 bool dispatcher::admit(const session& request, const placement_choice& choice) const {
-    if (!request.needs_engine) {
+    if (!request.needs_engine || request.resumes) {
         return true;
     }
     const base::duration objective = request.route->objective;
@@ -558,8 +564,17 @@
     queue_changed_ = true;
 }
 
+/// The objective of a resumed stream was met or missed with its first event; from then on only its deadline
+/// counts.
 base::duration dispatcher::max_queue_time(const session& request) const {
-    return scaled(request.route->objective, max_queue_share);
+    return request.resumes ? scaled(request.deadline - request.arrived, max_resumption_queue_share)
+                           : scaled(request.route->objective, max_queue_share);
+}
+
+/// Requests with a lower rank are placed first.
+double dispatcher::queue_rank(const session& request) const {
+    return request.resumes ? std::numeric_limits<double>::lowest()
+                           : fair_share_.relative_service(request.account);
 }
 
 void dispatcher::serve_queues() {
@@ -569,7 +584,7 @@
         for (const session_id id : queue) {
             const auto found = sessions_.find(id);
             if (found != sessions_.end() && found->second.state == stage::queued) {
-                order.emplace_back(fair_share_.relative_service(found->second.account), id);
+                order.emplace_back(queue_rank(found->second), id);
             }
         }
         std::stable_sort(order.begin(), order.end(),
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -224,6 +224,7 @@
     void pause_upstream(const upstream_stated& stated);
     void refuse(session& request, base::error_code cause);
     void refuse_as_isolated(session& request);
+    [[nodiscard]] double queue_rank(const session& request) const;
     [[nodiscard]] base::duration max_queue_time(const session& request) const;
     [[nodiscard]] base::duration retry_delay(const session& request);
     bool retry(session& request, const attempt_finished& attempt);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -184,7 +184,8 @@
     if (stopping_) {
         return refuse(connection, *info, 503, stop_cause(), stop_retry_delay);
     }
-    const bool costly = needs_engine(info->host, head.target);
+    // The caller of a resumed stream has a part of it, which a refusal would waste.
+    const bool costly = info->resume_after.empty() && needs_engine(info->host, head.target);
     if (const std::optional<refusal> refused =
             admission_.refuse(!costly, costly ? admitted_share(*info) : 1, exchanges_.size())) {
         if (costly) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -100,6 +100,14 @@
         changed->ready = false;
         state_.publish(changed);
     }
+    /// Lets the relay admit nothing of callers without an account.
+    void publish_no_share() {
+        std::shared_ptr<dispatch::router_state> changed =
+            std::make_shared<dispatch::router_state>(*state_.current());
+        changed->admission = std::make_shared<const dispatch::admission_table>(
+            dispatch::admission_table::shares{{base::client_account_id(), 0}});
+        state_.publish(changed);
+    }
     /// Ends the workers, as the process does once the dispatcher says that it may stop.
     void stop() { supervisor_.stop(); }
     fake_server& upstream(std::size_t i = 0) { return upstreams_.at(i); }
@@ -965,6 +973,21 @@
     CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
 }
 
+// Guards against callers that lose the part of a stream which they have, while new streams begin.
+TEST_CASE("overload that refuses new streams lets resumed ones go on") {
+    router_fixture router;
+    router.publish_no_share();
+    wire caller = router.connect_caller();
+    caller.send(request("/long/1", "t1", "Content-Length: 0\r\n", "POST"));
+    CHECK(contains(caller.read_answer(), "HTTP/1.1 503"));
+    caller.send(
+        request("/long/1", "t2", "Last-Event-Id: 12\r\nResumes: t0\r\nContent-Length: 0\r\n", "POST"));
+    wire upstream = router.accept_any_upstream();
+    CHECK(contains(upstream.read_request(), "Last-Event-Id: 12\r\n"));
+    upstream.send(stream_head("t2") + chunk("id: 13\ndata: 13\n\n") + "0\r\n\r\n");
+    CHECK(contains(caller.read_answer(), "data: 13\n\n"));
+}
+
 // Guards against streams joined of two versions: an upstream came back under its id, newer than the list
 // shows.
 TEST_CASE("a stream begins only at the process that the list shows") {
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -135,6 +135,15 @@
         begin(index, session);
         return sent(session)->target.version.value();
     }
+    /// The answer to the request ends at the router.
+    void finish(std::size_t index, session_id id) {
+        attempt_finished finished;
+        finished.id = id;
+        finished.attempt = sent(id)->attempt;
+        finished.status = 200;
+        routers_[index]->decisions.handle(finished, now_);
+        collect(*routers_[index]);
+    }
     [[nodiscard]] const send_request* sent(session_id id) const {
         const auto found = sent_.find(id);
         return found == sent_.end() ? nullptr : &found->second;
@@ -357,6 +366,39 @@
     CHECK(moved.ended(refused) != nullptr);
 }
 
+// Guards against resumed streams that are refused more often than new ones begin.
+TEST_CASE("a resumed stream gets the next room on an engine before new ones that wait for longer") {
+    fleet routed(small_fleet, {make_upstream("a", "v1")});
+    routed.stream(1, "s");
+    routed.advance(milliseconds(150));
+    std::vector<session_id> running;
+    session_id waiting;
+    for (int i = 0; i < 20; ++i) {
+        const session_id next = routed.request(0, "new-" + std::to_string(i));
+        if (routed.sent(next) == nullptr) {
+            waiting = next;
+            break;
+        }
+        running.push_back(next);
+    }
+    REQUIRE(routed.sent(waiting) == nullptr);
+    std::vector<session_id> resumed;
+    for (int i = 0; i < 5; ++i) {
+        resumed.push_back(routed.request(0, "again-" + std::to_string(i), "s"));
+    }
+    REQUIRE(routed.sent(resumed.back()) == nullptr);
+    routed.advance(milliseconds(100));
+    routed.finish(0, running.front());
+    routed.advance(milliseconds(20));
+    CHECK(std::any_of(resumed.begin(), resumed.end(),
+                      [&](session_id id) { return routed.sent(id) != nullptr; }));
+    CHECK(routed.sent(waiting) == nullptr);
+    // The new one has waited for too long by now, a resumed one not.
+    routed.advance(milliseconds(300));
+    CHECK(routed.ended(waiting) != nullptr);
+    CHECK(routed.ended(resumed.back()) == nullptr);
+}
+
 TEST_CASE("origins are reported twice, and not once their stream has ended") {
     stream_origins origins;
     const base::time_point now(std::chrono::hours(1));
