Resume an answer of bluebelld only at the software version that began it

Engines state their software in the field Engine-Version of their answers. The transport keeps it with the delivered prefix. An engine is asked to resume only if the software of the prefix is known, and its answer is taken only if it states the same; otherwise the attempt ends and nothing of it reaches the caller. Where the software is not known, the engine repeats the whole answer, whose beginning is compared as before: what the caller then has is one answer of one engine. Over two requests nothing is resumed on this path, since resume_from is reserved for routers, and a router that ends takes the prefix with it.

The test of an answer without events states the version now, so that it still reaches that check.

--- a/src/upstream/attempt.cpp
+++ b/src/upstream/attempt.cpp
@@ -17,6 +17,7 @@
 /// parts let a large answer fit into few entries of the ring to the caller's thread, and nothing reaches the
 /// caller if the answer breaks off within the first part.
 constexpr std::size_t whole_answer_part_bytes = 65536;
+constexpr const char* engine_version_field = "Engine-Version";
 constexpr int status_ok = 200;
 constexpr int first_server_error = 500;
 
@@ -38,6 +39,15 @@
     });
 }
 
+/// Returns the software that the engine states; empty if it states none.
+base::software_version stated_version(const decision::answer_head& head) {
+    const auto stated =
+        std::find_if(head.fields.begin(), head.fields.end(), [](const decision::field& field) {
+            return strcasecmp(field.name.c_str(), engine_version_field) == 0;
+        });
+    return base::software_version(stated == head.fields.end() ? std::string() : stated->value);
+}
+
 /// Inserts `resume_from` as the first member of a JSON object. Pre-condition: the object has members.
 std::string with_resume_offset(const std::string& body, base::byte_count offset) {
     const std::size_t brace = body.find('{');
@@ -50,17 +60,19 @@
 
 } // namespace
 
-attempt::attempt(decision::dispatch command, delivered_prefix prefix, const attempt_limits& limits,
-                 cxxtools::SelectorBase& selector, const base::clock& clock)
-    : command_(std::move(command)), prefix_(prefix), limits_(limits), clock_(clock), selector_(selector),
-      start_time_(clock.now()), last_byte_time_(start_time_), last_progress_time_(start_time_) {}
+attempt::attempt(decision::dispatch command, delivered_prefix prefix, base::software_version version,
+                 const attempt_limits& limits, cxxtools::SelectorBase& selector, const base::clock& clock)
+    : command_(std::move(command)), prefix_(prefix), version_(std::move(version)), limits_(limits),
+      clock_(clock), selector_(selector), start_time_(clock.now()), last_byte_time_(start_time_),
+      last_progress_time_(start_time_) {}
 
 std::string attempt::stream_name(const decision::attempt_key& key) {
     return base::to_hex(key.id.value()) + '-' + std::to_string(key.number.value());
 }
 
 bool attempt::engine_can_resume() const {
-    return command_.kind == decision::pool_kind::model && command_.target.can_resume;
+    return command_.kind == decision::pool_kind::model && command_.target.can_resume &&
+           !version_.value().empty();
 }
 
 void attempt::start() {
@@ -115,6 +127,16 @@
                      "status " + std::to_string(head.status) + " on resumption"});
         return;
     }
+    answer_version_ = stated_version(head);
+    if (command_.resume_from.value() == 0) {
+        version_ = answer_version_;
+    } else if (engine_can_resume() && answer_version_ != version_) {
+        finish(attempt_status::interrupted,
+               error{error_code::upstream_malformed_answer, command_.target.id.value(),
+                     "software '" + answer_version_.value() + "' cannot go on with an answer of '" +
+                         version_.value() + '\''});
+        return;
+    }
     head_.status = head.status;
     std::copy_if(head.fields.begin(), head.fields.end(), std::back_inserter(head_.fields),
                  [](const decision::field& field) { return !is_hop_by_hop(field.name); });
@@ -153,6 +175,7 @@
                          "the repeated answer differs from what the caller has"});
             return;
         }
+        version_ = answer_version_; // it has written the same
     }
     undelivered_ += bytes;
     if (streamed_ || undelivered_.size() >= whole_answer_part_bytes) {
--- a/src/upstream/attempt.h
+++ b/src/upstream/attempt.h
@@ -34,10 +34,10 @@
 /// Thread safety: used by the selector's thread only.
 class attempt final : public call_listener {
 public:
-    /// `prefix` describes the part of the answer that the caller received from earlier attempts.
-    /// Pre-condition: `selector` and `clock` outlive the attempt.
-    attempt(decision::dispatch command, delivered_prefix prefix, const attempt_limits& limits,
-            cxxtools::SelectorBase& selector, const base::clock& clock);
+    /// `prefix` describes the part of the answer that the caller received from earlier attempts, and
+    /// `version` the software that wrote it. Pre-condition: `selector` and `clock` outlive the attempt.
+    attempt(decision::dispatch command, delivered_prefix prefix, base::software_version version,
+            const attempt_limits& limits, cxxtools::SelectorBase& selector, const base::clock& clock);
     attempt(const attempt&) = delete;
     attempt& operator=(const attempt&) = delete;
     attempt(attempt&&) = delete;
@@ -67,6 +67,8 @@
     std::optional<base::cost> take_progress();
     /// Describes all answer bytes that the caller has received, including those of earlier attempts.
     [[nodiscard]] const delivered_prefix& prefix() const { return prefix_; }
+    /// Software that wrote these bytes; empty if it is not known.
+    [[nodiscard]] const base::software_version& version() const { return version_; }
 
     /// Returns the name of the stream of an attempt at the engine.
     [[nodiscard]] static std::string stream_name(const decision::attempt_key& key);
@@ -78,6 +80,7 @@
     void on_failure(const base::error& cause) override;
 
     [[nodiscard]] std::string request_text() const;
+    /// Returns true if the engine may go on after the delivered part, whose software is known.
     [[nodiscard]] bool engine_can_resume() const;
     /// Processes bytes of the answer: skips and checks what the caller has already, and delivers the rest.
     void receive(std::string_view bytes);
@@ -93,6 +96,10 @@
 
     decision::dispatch command_;
     delivered_prefix prefix_;
+    /// Software that wrote what was delivered; empty if the engine did not state it.
+    base::software_version version_;
+    /// Software that writes the answer of this attempt.
+    base::software_version answer_version_;
     const attempt_limits limits_;
     const base::clock& clock_;
     cxxtools::SelectorBase& selector_;
--- a/src/upstream/transport.cpp
+++ b/src/upstream/transport.cpp
@@ -92,9 +92,9 @@
 
 void transport::start(decision::dispatch command) {
     const decision::attempt_key key = command.attempt;
-    const delivered_prefix prefix = take_prefix(command);
-    std::unique_ptr<attempt> new_attempt =
-        std::make_unique<attempt>(std::move(command), prefix, limits_, selector_, clock_);
+    remembered_prefix delivered = take_prefix(command);
+    std::unique_ptr<attempt> new_attempt = std::make_unique<attempt>(
+        std::move(command), delivered.prefix, std::move(delivered.version), limits_, selector_, clock_);
     new_attempt->start();
     next_limit_ = std::min(next_limit_, new_attempt->next_limit());
     if (new_attempt->ended()) {
@@ -184,14 +184,14 @@
     return wait;
 }
 
-delivered_prefix transport::take_prefix(const decision::dispatch& command) {
+transport::remembered_prefix transport::take_prefix(const decision::dispatch& command) {
     const std::map<base::request_id, remembered_prefix>::iterator found = prefixes_.find(command.attempt.id);
     if (found == prefixes_.end()) {
         return {};
     }
-    const delivered_prefix prefix = found->second.prefix;
+    remembered_prefix remembered = std::move(found->second);
     prefixes_.erase(found);
-    return command.resume_from.value() > 0 ? prefix : delivered_prefix{};
+    return command.resume_from.value() > 0 ? std::move(remembered) : remembered_prefix{};
 }
 
 void transport::remember_prefix(const attempt& ended) {
@@ -207,7 +207,7 @@
         }
     }
     if (prefixes_.size() < max_remembered_prefixes) {
-        prefixes_[ended.command().attempt.id] = {ended.prefix(), ended.command().deadline};
+        prefixes_[ended.command().attempt.id] = {ended.prefix(), ended.version(), ended.command().deadline};
     }
 }
 
--- a/src/upstream/transport.h
+++ b/src/upstream/transport.h
@@ -39,6 +39,7 @@
     /// Delivered part of an interrupted answer, kept for the next attempt of the request.
     struct remembered_prefix {
         delivered_prefix prefix;
+        base::software_version version;
         base::time_point expiry_time;
     };
 
@@ -59,7 +60,7 @@
     [[nodiscard]] base::duration wait_time() const;
     /// Removes the remembered prefix of a request. Returns it if the command resumes the answer, otherwise an
     /// empty one.
-    [[nodiscard]] delivered_prefix take_prefix(const decision::dispatch& command);
+    [[nodiscard]] remembered_prefix take_prefix(const decision::dispatch& command);
     void remember_prefix(const attempt& ended);
 
     base::ring<decision::transport_command>& commands_;
--- a/standin/model.h
+++ b/standin/model.h
@@ -29,6 +29,9 @@
     base::duration load_lag{};
     /// Refuses orders whose fencing token is older than the highest one seen.
     bool checks_fence = true;
+    /// Stated in each answer; empty for an engine that does not state it. Other versions generate another
+    /// text.
+    std::string version = "1";
 };
 
 /// Stand-in for a model engine with slots, resumable streams and orders. The answer is a function
@@ -125,7 +128,7 @@
                                   std::uint64_t skip, const std::string& id,
                                   std::optional<std::uint64_t> cut) {
         edge::chunk_writer out(exchange.socket);
-        bool alive = out.head(200, {{"Content-Type", "text/event-stream"}});
+        bool alive = out.head(200, fields("text/event-stream"));
         std::uint64_t written = 0;
         for (std::uint64_t i = 0; alive && i <= tokens; ++i) {
             std::string text = answer_event(body, i, tokens);
@@ -166,7 +169,7 @@
                            std::to_string(prompt + tokens) + "}}";
         if (cut) {
             edge::chunk_writer out(exchange.socket);
-            out.head(200, {{"Content-Type", "application/json"}});
+            out.head(200, fields("application/json"));
             out.write(std::string_view(text).substr(0, *cut));
             close_connection(exchange);
         }
@@ -174,6 +177,13 @@
         return text;
     }
 
+    [[nodiscard]] std::vector<decision::field> fields(const std::string& type) const {
+        std::vector<decision::field> result{{"Content-Type", type}};
+        if (!options_.version.empty()) {
+            result.push_back({"Engine-Version", options_.version});
+        }
+        return result;
+    }
     static std::string token(const std::string& body, std::uint64_t i) {
         return "w" + std::to_string(base::stable_hash(body, i) % 100000) + ' ';
     }
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -395,6 +395,41 @@
     }
 }
 
+// Guards against answers joined of two software versions: an engine has been replaced by a newer one.
+TEST_CASE("a broken stream resumes only at the software version that began it") {
+    bluebell::tests::fake_server server;
+    transport_fixture fixture;
+    const std::shared_ptr<recording_exchange> exchange = std::make_shared<recording_exchange>(chat("a"));
+    const std::string first_version = GENERATE(as<std::string>(), "Engine-Version: v1\r\n", "");
+    const std::string second_version =
+        GENERATE(as<std::string>(), "engine-version: v1\r\n", "Engine-Version: v2\r\n", "");
+    const auto answer = [](const std::string& version, const std::string& text) {
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + version +
+               "Content-Length: 18\r\n\r\n" + text;
+    };
+    const std::string begun = "data: a\n\n";
+    fixture.push(fixture.dispatch_to({"127.0.0.1", server.port()}, exchange, 1));
+    bluebell::tests::wire first = server.accept();
+    first.read_request();
+    first.send(answer(first_version, begun));
+    REQUIRE(exchange->wait_for(begun.size()));
+    first.close();
+    decision::dispatch next = fixture.dispatch_to({"127.0.0.1", server.port()}, exchange, 1, 2);
+    next.resume_from = fixture.next_end().result.delivered;
+    next.kind = decision::pool_kind::model;
+    next.target.can_resume = true;
+    fixture.push(next);
+    bluebell::tests::wire second = server.accept();
+    const bool resumed = second.read_request().find("resume_from") != std::string::npos;
+    // Without a known version, the engine repeats the whole answer, whose beginning can be compared.
+    CHECK(resumed == !first_version.empty());
+    const bool same = !first_version.empty() && second_version == "engine-version: v1\r\n";
+    second.send(answer(second_version, resumed ? "data: b\n\n" : "data: x\n\ndata: b\n\n"));
+    second.close();
+    CHECK(fixture.next_end().result.status == attempt_status::interrupted);
+    CHECK(exchange->text() == (same ? begun + "data: b\n\n" : begun));
+}
+
 TEST_CASE("a success that is no event stream is not joined to a stream that is resumed") {
     bluebell::tests::fake_server server;
     transport_fixture fixture;
@@ -403,7 +438,9 @@
     bluebell::tests::wire first = server.accept();
     first.read_request();
     const std::string event = "data: a\n\n";
-    first.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 100\r\n\r\n" + event);
+    first.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nEngine-Version: v1\r\n"
+               "Content-Length: 100\r\n\r\n" +
+               event);
     REQUIRE(exchange->wait_for(event.size()));
     first.close();
     const decision::attempt_ended broken = fixture.next_end();
@@ -414,7 +451,9 @@
     fixture.push(next);
     bluebell::tests::wire second = server.accept();
     second.read_request();
-    second.send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\nerror text");
+    second.send(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nEngine-Version: v1\r\nContent-Length: 10\r\n\r\n"
+        "error text");
     CHECK(fixture.next_end().result.status == attempt_status::interrupted);
     CHECK(exchange->text() == event);
 }
