Check in the soak that no stream holds two software versions

The soak's upstreams had one version, its callers named no stream when they resumed one, and routers were killed one at a time, so that it could not show streams joined of two versions.

Upstreams now come back with newer software, under their id and some time before the store lists them, and mark each event with their version. All routers are killed at once now and then. Callers name the request that brought the first event, and no stream may hold events of two versions. The summary of a seed counts the answers to resumed streams.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,14 +3,16 @@
 Usage: soak.py BUILD_DIR [--seeds FIRST:COUNT] [--seconds S] [--keep DIR]
 
 For each seed, three routers run between clients and upstreams, with a stand-in of the platform's store. A seeded
-schedule stops, kills, pauses and reloads routers, and breaks connections, upstreams and the store, with overlaps.
-Clients keep using open connections until these end, and resume some of the streams that were cut. Upstreams break off
-answers at any point, with a length, in chunks or with neither. What clients and upstreams saw is checked:
+schedule stops, kills, pauses and reloads routers, also all at once, and breaks connections, upstreams and the store,
+with overlaps. Clients keep using open connections until these end, and resume some of the streams that were cut.
+Upstreams break off answers at any point, with a length, in chunks or with neither, and come back with newer software,
+under their id and before the store shows it. What clients and upstreams saw is checked:
 
   twice        a request that must not run twice ran more than once
   refused      a request that was answered as not run has run
   mixed        a success without the upstream's mark, or with another body; a status that HTTP does not have
   order        a stream lacks an event, repeats one, or ends as complete before its last one
+  version      a stream holds events of two software versions, in one answer or over the requests that resume it
   cut          a planned stop cut a request, with no other fault near it
   leaving      a request reached an upstream that had told the router more than two seconds before that it leaves
   pause        an upstream got more than two requests from a router that it had told to come back later
@@ -26,6 +28,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -201,21 +204,23 @@
     def __init__(self, soak, name, pool, port, advertised):
         self.soak, self.name, self.pool, self.port, self.advertised = soak, name, pool, port, advertised
         self.fault, self.leaving, self.pausing, self.limit = None, False, False, None
-        self.born, self.seal = 1, "seal-" + name
+        self.born, self.version, self.seal = 1, 1, "seal-" + name
         self.told_leaving, self.told_pause = {}, collections.defaultdict(list)
         self.told_limit, self.limited_since, self.arrivals = {}, None, []
         self.writers = set()
 
-    async def start(self):
+    async def start(self, unlisted_s=0.0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        await asyncio.sleep(unlisted_s)
         self.register()
 
     def register(self):
         self.soak.store.put("servers", self.name, {
-            "service": self.pool, "address": "127.0.0.1:%d" % self.advertised, "zone": "x", "version": "1", "slots": 20,
+            "service": self.pool, "address": "127.0.0.1:%d" % self.advertised, "zone": "x",
+            "version": str(self.version), "slots": 20,
             "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": self.born})
 
-    async def crash(self, down_s):
+    async def crash(self, down_s, newer=False, unlisted_s=0.0):
         if not self.server.is_serving():  # down already, and started again by the crash under way
             return
         self.server.close()
@@ -223,10 +228,11 @@
             reset(writer)
         await asyncio.sleep(down_s)
         self.born += 1
+        self.version += 1 if newer else 0
         self.leaving, self.pausing, self.limit, self.limited_since = False, False, None, None
         self.told_leaving, self.told_limit, self.arrivals = {}, {}, []
         self.told_pause.clear()
-        await self.start()
+        await self.start(unlisted_s)
 
     def check_arrival(self, router, sent_at, now):
         told = self.told_leaving.get(router)
@@ -268,6 +274,11 @@
                     return await self.answer_early(writer, fields, request, router)
                 if not (await read_body(reader, fields, False))[1]:
                     return
+                if line.startswith("GET /api/report "):
+                    state = json.dumps({"born": self.born})
+                    writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(state)}\r\n\r\n{state}".encode())
+                    await writer.drain()
+                    continue
                 now = time.monotonic()
                 self.check_arrival(router, float(fields.get("x-sent-at", 0)), now)
                 mark = f"X-Attempt-Id: {request}\r\nKeep-Alive: timeout=5\r\n" + self.statement(router, now)
@@ -341,13 +352,14 @@
         return not unframed and not broken
 
     async def answer_stream(self, writer, position, request, mark, fault):
+        version = self.version
         unframed = fault in ("unframed", "unframed_short")
         broken = fault in ("short", "unframed_short") and position < EVENTS
         last = self.soak.random.randint(position, EVENTS - 1) if broken else EVENTS
         coding = "" if unframed else "Transfer-Encoding: chunked\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\n{mark}Content-Type: text/event-stream\r\n{coding}\r\n".encode())
         for event in range(position + 1, last + 1):
-            text = f"id: {event}\ndata: {request}-{event}\n\n"
+            text = f"id: {event}\ndata: {request}-{event}@{version}\n\n"
             writer.write((text if unframed else f"{len(text):x}\r\n{text}\r\n").encode())
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE_S)
@@ -404,6 +416,7 @@
         self.runs = collections.defaultdict(list)
         self.failures, self.faults, self.router_faults, self.cuts, self.answers = [], [], [], [], collections.Counter()
         self.promised, self.unrepeatable = set(), set()
+        self.versions, self.resumed = collections.defaultdict(set), collections.Counter()
         self.running = True
 
     def fail(self, check, text):
@@ -481,7 +494,7 @@
         while time.monotonic() < end:
             kind = self.schedule_random.choice(["term", "kill", "freeze", "hup", "link", "reset", "upstream_link", "crash",
                                                 "fault", "fault", "fault", "leave", "pause", "limit", "store",
-                                                "store_silent", "config", "calm"])
+                                                "store_silent", "config", "calm", "newer", "newer", "kill_all"])
             version += 1
             tasks.append(asyncio.create_task(self.inject(kind, version)))
             await asyncio.sleep(self.schedule_random.uniform(0.3, 1.2))
@@ -498,27 +511,10 @@
             return self.store.put("config", "main", self.configuration(version))
         if kind == "calm":
             return await asyncio.sleep(time_s)
+        if kind == "kill_all":
+            return await asyncio.gather(*(self.disturb(one, "kill", 1.0) for one in self.routers))
         if kind in ("term", "kill", "freeze"):
-            if getattr(router, "busy", False):
-                return None
-            router.busy = True
-            interval = [router.name, start, float("inf")]
-            self.router_faults.append(interval)
-            if kind == "freeze":
-                router.signal(signal.SIGSTOP)
-                await asyncio.sleep(time_s)
-                router.signal(signal.SIGCONT)
-            else:
-                await router.stop(signal.SIGTERM if kind == "term" else signal.SIGKILL)
-                if kind == "kill":
-                    await asyncio.sleep(time_s / 2)
-                await router.start()
-                await asyncio.sleep(1)
-            interval[2] = time.monotonic()
-            router.busy = False
-            if kind != "term":
-                self.faults.append((start, interval[2]))
-            return None
+            return await self.disturb(router, kind, time_s)
         if kind in ("leave", "pause", "limit") and (upstream.leaving or upstream.pausing or upstream.limit is not None):
             return None
         if kind == "pause":
@@ -541,6 +537,9 @@
         elif kind == "crash":
             await upstream.crash(time_s)
             self.faults.append((start, time.monotonic()))
+        elif kind == "newer":
+            await upstream.crash(time_s / 2, True, time_s / 4)
+            self.faults.append((start, time.monotonic()))
         elif kind == "fault":
             upstream.fault = self.schedule_random.choice(["lost", "head", "error", "short", "extra", "repeat", "status",
                                                           "unframed", "unframed_short", "early"])
@@ -563,8 +562,31 @@
             self.faults.append((start, time.monotonic()))
         return None
 
+    async def disturb(self, router, kind, time_s):
+        """Stops, kills or pauses a router, unless that is under way."""
+        if getattr(router, "busy", False):
+            return
+        router.busy = True
+        start = time.monotonic()
+        interval = [router.name, start, float("inf")]
+        self.router_faults.append(interval)
+        if kind == "freeze":
+            router.signal(signal.SIGSTOP)
+            await asyncio.sleep(time_s)
+            router.signal(signal.SIGCONT)
+        else:
+            await router.stop(signal.SIGTERM if kind == "term" else signal.SIGKILL)
+            if kind == "kill":
+                await asyncio.sleep(time_s / 2)
+            await router.start()
+            await asyncio.sleep(1)
+        interval[2] = time.monotonic()
+        router.busy = False
+        if kind != "term":
+            self.faults.append((start, interval[2]))
+
     async def client(self, number):
-        count, connection, router, position = 0, None, None, 0
+        count, connection, router, position, begun_by = 0, None, None, 0, None
         while self.running:
             count += 1
             path = "stream" if position else self.random.choice(["order", "look", "stream"])
@@ -577,7 +599,7 @@
                 except (OSError, asyncio.TimeoutError):
                     await asyncio.sleep(0.1)
                     continue
-            resumption = f"Last-Event-Id: {position}\r\n" if position else ""
+            resumption = f"Last-Event-Id: {position}\r\nResumes: {begun_by}\r\n" if position else ""
             start = time.monotonic()
             reader, writer = connection
             try:
@@ -590,7 +612,12 @@
                 line, fields, body, complete = await asyncio.wait_for(read_message(reader, True), 8)
                 keep = complete and fields.get("connection") != "close"
                 self.check_answer(path, request, line, fields, body, complete, start, position)
-                position += body.count(b"\n\n") if path == "stream" and " 200 " in line else 0
+                if path == "stream" and " 200 " in line:
+                    begun_by = begun_by if position else request
+                    self.check_version(begun_by, request, body)
+                    position += body.count(b"\n\n")
+                if resumption:
+                    self.resumed[int(line.split(" ")[1])] += 1
                 if complete or position == EVENTS or self.random.random() > RESUMED_SHARE:
                     position = 0
             except (asyncio.IncompleteReadError, asyncio.TimeoutError, OSError) as error:
@@ -620,11 +647,17 @@
                 self.fail("mixed", f"{request} got {body[:60]!r}")
         if status == 200 and path == "stream":
             whole = b"".join(f"id: {i}\ndata: {request}-{i}\n\n".encode() for i in range(position + 1, EVENTS + 1))
+            body = re.sub(rb"@\d+\n", b"\n", body)
             if not whole.startswith(body) or (complete and body != whole):
                 self.fail("order", f"{request} got {body[-80:]!r}, {'complete' if complete else 'cut'}")
         if not complete:
             self.cuts.append((request, start, time.monotonic()))
 
+    def check_version(self, stream, request, body):
+        self.versions[stream].update(re.findall(rb"@(\d+)\n\n", body))
+        if len(self.versions[stream]) > 1:
+            self.fail("version", f"{request} goes on with {stream} of versions {sorted(self.versions[stream])}")
+
     def check(self):
         for request in self.unrepeatable:
             if len(self.runs.get(request, [])) > 1:
@@ -658,7 +691,8 @@
             soak = Soak(os.path.join(options.build, "bin"), folder, seed, options.seconds)
             await soak.run()
             print(f"seed {seed}: {len(soak.failures)} failed, {sum(soak.answers.values())} answers "
-                  f"{dict(sorted(soak.answers.items()))}, {len(soak.cuts)} cut, {len(soak.faults)} faults", flush=True)
+                  f"{dict(sorted(soak.answers.items()))}, {len(soak.cuts)} cut, {len(soak.faults)} faults, "
+                  f"resumed {dict(sorted(soak.resumed.items()))}", flush=True)
             for failure in soak.failures[:20]:
                 print("  " + failure, flush=True)
             if soak.failures:
