Go on with a stream only at a process that is known

A stream that a caller resumed, or that broke off within its answer, went on at an upstream that did not answer which process it is: by its entry it had the right version, but it may have started again with a newer one. Only the beginning of a stream was covered by the question.

Where the caller has a part of the stream, an upstream that does not say which process it is gets no byte of the request now, like one that is another process.

Without the condition the new test of relay_test fails (the request reaches the first upstream).

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -543,6 +543,7 @@
     command.deadline = request.deadline;
     command.streaming = request.route->kind == route_kind::streaming;
     command.resumable = command.streaming && request.route->resumable;
+    command.continues_stream = request.origin.has_value();
     command.repeatable = request.route->repeatable();
     command.hold_failures =
         request.route->kind == route_kind::safe && request.upstreams_used < request.route->max_attempts;
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -229,6 +229,8 @@
     bool streaming = false;
     /// Pass on whole events only, so that another upstream can continue the stream.
     bool resumable = false;
+    /// The caller has a part of the stream. Only the process that the target's entry shows may go on with it.
+    bool continues_stream = false;
     /// The request may run more than once. If not set, it is only sent on connections that are certainly
     /// open.
     bool repeatable = false;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -397,7 +397,8 @@
 /// streams that may be continued depend on which process writes them.
 bool relay::needs_process_check(const exchange& session, const link& connection) {
     const std::int64_t listed = session.command.target.started_ms;
-    return session.command.resumable && listed != 0 && connection.process() != listed;
+    return (session.command.resumable || session.command.continues_stream) && listed != 0 &&
+           connection.process() != listed;
 }
 
 void relay::finish_process_check(exchange& session, link& connection) {
@@ -415,7 +416,7 @@
                          {"started_ms", *started_ms}});
         return report_unsent(session);
     }
-    if (connection.closed()) {
+    if (connection.closed() || (!started_ms && session.command.continues_stream)) {
         return report_unsent(session);
     }
     session.process_known = started_ms.has_value();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1040,6 +1040,23 @@
     CHECK_FALSE(router.any_upstream_called(milliseconds(50)));
 }
 
+TEST_CASE("a resumed stream does not go on at an upstream that does not say which process it is") {
+    router_fixture router(1000, 2, 100000, 1700000000123);
+    wire caller = router.connect_caller();
+    caller.send(
+        request("/long/1", "t1", "Last-Event-Id: 12\r\nResumes: t0\r\nContent-Length: 0\r\n", "POST"));
+    wire first = router.accept_any_upstream();
+    first.read_request();
+    first.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    CHECK(first.read_to_end().empty());
+    wire second = router.accept_any_upstream();
+    second.read_request();
+    second.send(state_answer(R"({"born":1700000000123})"));
+    CHECK(contains(second.read_request(), "Last-Event-Id: 12\r\n"));
+    second.send(stream_head("t1") + chunk("id: 13\ndata: 13\n\n") + "0\r\n\r\n");
+    CHECK(contains(caller.read_answer(), "data: 13\n\n"));
+}
+
 TEST_CASE("only streams that may be resumed ask which process the connection leads to") {
     router_fixture router(1000, 2, 100000, 1700000000123);
     wire caller = router.connect_caller();
