Draw resumed streams of a flooding account by the square root of its share

They are drawn now, once their origin is known, by the square root of the share of their account: more often than new ones, since their callers come back less often, and the more so the less the account gets. A caller whose stream cannot go on still learns that first.

Without the draw the new test of resumption_test fails.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -193,6 +193,9 @@
     /// Binds the request to the origin of its stream. Returns false if it was refused since the origin cannot
     /// serve it any more.
     bool adopt_origin(session& request, const stream_origin& origin);
+    /// Draws whether the request is admitted while its account requests more than it gets. Returns false if
+    /// it was refused.
+    bool draw_resumption(session& request);
     [[nodiscard]] bool origin_left(const session& request) const;
     void refuse_resumption(session& request, base::error_code cause);
     void query_origin(session& request);
--- a/src/dispatch/resumption.cpp
+++ b/src/dispatch/resumption.cpp
@@ -4,6 +4,8 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
+#include <random>
 #include <utility>
 
 namespace bluebell::dispatch {
@@ -58,7 +60,7 @@
 bool dispatcher::resume(session& request) {
     const stream_origin* const origin = request.stream ? origins_.find(*request.stream) : nullptr;
     if (origin != nullptr) {
-        return adopt_origin(request, *origin);
+        return adopt_origin(request, *origin) && draw_resumption(request);
     }
     if (!request.stream || (holds_origins() && origins_read_)) {
         refuse_resumption(request, error_code::stream_unknown);
@@ -100,6 +102,17 @@
     return true;
 }
 
+/// Without any draw, an account whose streams have broken off would get far more than the others; with the
+/// share for new requests, few streams would go on, since their callers come back less often.
+bool dispatcher::draw_resumption(session& request) {
+    const double share = admission_ ? std::sqrt(admission_->share(request.account)) : 1;
+    if (std::uniform_real_distribution<double>(0, 1)(random_) < share) {
+        return true;
+    }
+    end_session(request, 503, error_code::over_fair_share, retry_delay(request));
+    return false;
+}
+
 bool dispatcher::origin_left(const session& request) const {
     return request.origin && !placement_.serves(request.origin->pool, request.origin->version);
 }
@@ -136,7 +149,7 @@
         if (origin == nullptr) {
             request.state = answered ? stage::queued : stage::awaiting_origin;
             refuse_resumption(request, error_code::stream_unknown);
-        } else if (adopt_origin(request, *origin)) {
+        } else if (adopt_origin(request, *origin) && draw_resumption(request)) {
             place_or_enqueue(request);
         }
     }
--- a/tests/resumption_test.cpp
+++ b/tests/resumption_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <set>
@@ -135,6 +136,20 @@
         begin(index, session);
         return sent(session)->target.version.value();
     }
+    /// Tells the router, in the name of the next one, what its accounts request and get.
+    void report(std::size_t index, std::vector<decision::account_work> accounts) {
+        decision::envelope message;
+        message.header.sender = listed_[index + 1].vm;
+        message.header.incarnation = base::incarnation(index + 2);
+        message.header.sequence = 1'000'000 + ++last_id_;
+        message.body = decision::work_report{{}, std::move(accounts), false, 0, 0};
+        routers_[index]->decisions.handle(decision::message_received{message, {}}, now_);
+    }
+    /// Share of the requests of callers without an account that the router admits.
+    [[nodiscard]] double admitted_share(std::size_t index) const {
+        const admission_table_ptr& table = routers_[index]->decisions.admission();
+        return table ? table->share(base::client_account_id()) : 1;
+    }
     /// The answer to the request ends at the router.
     void finish(std::size_t index, session_id id) {
         attempt_finished finished;
@@ -399,6 +414,35 @@
     CHECK(routed.ended(resumed.back()) == nullptr);
 }
 
+// Guards against accounts that get far more than others while their broken streams are taken up again.
+TEST_CASE("resumed streams of an account that floods are admitted by the square root of its share") {
+    fleet routed(small_fleet, {make_upstream("a", "v1")});
+    routed.stream(1, "s");
+    routed.advance(milliseconds(150));
+    while (routed.sent(routed.request(0, "new")) != nullptr) {
+    }
+    const base::client_account_id flooding;
+    for (int i = 0; i < 10; ++i) {
+        routed.report(
+            0, {{flooding, base::cost(8000), base::cost(90000), base::cost(90000)},
+                {base::client_account_id("small"), base::cost(2000), base::cost(3000), base::cost(3000)}});
+        routed.advance(milliseconds(50));
+    }
+    const double share = routed.admitted_share(0);
+    REQUIRE(share < 0.6);
+    constexpr int count = 1000;
+    int refused = 0;
+    for (int i = 0; i < count; ++i) {
+        const session_id resumed = routed.request(0, "again", "s");
+        const end_request* const end = routed.ended(resumed);
+        refused += end != nullptr && end->cause == base::error_code::over_fair_share ? 1 : 0;
+        CHECK((end == nullptr || end->retry_after));
+    }
+    const double admitted = 1 - static_cast<double>(refused) / count;
+    CHECK(admitted > std::sqrt(share) * 0.9);
+    CHECK(admitted < std::sqrt(share) * 1.1);
+}
+
 TEST_CASE("origins are reported twice, and not once their stream has ended") {
     stream_origins origins;
     const base::time_point now(std::chrono::hours(1));
