--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -1,6 +1,8 @@
+#include "base/guard.h"
 #include "platform/decode.h"
 #include "platform/objects.h"
 #include "store/follower.h"
+#include "store/recorder.h"
 #include "wire.h"
 
 #include <algorithm>
@@ -125,15 +127,20 @@
         return std::vector<decision::vm_entry>{};
     }
     base::result<void> announce_router(const decision::vm_entry& /*self*/) override { return {}; }
-    base::result<store::stored_streams> read_streams() override { return store::stored_streams{}; }
-    base::result<void> write_streams(std::uint64_t /*batch*/,
-                                     const std::vector<decision::begun_stream>& /*streams*/) override {
-        return {};
+    base::result<store::stored_streams> read_streams() override { return store::stored_streams{134, {}}; }
+    base::result<void> write_streams(std::uint64_t batch,
+                                     const std::vector<decision::begun_stream>& streams) override {
+        return write_ ? write_(batch, streams.size()) : base::result<void>();
+    }
+    /// Sets what happens to a batch of origins, by its number and size.
+    void on_write(std::function<base::result<void>(std::uint64_t, std::size_t)> write) {
+        write_ = std::move(write);
     }
     void interrupt() override {}
 
 private:
     std::function<base::result<store::catalogue_reading>(int)> script_;
+    std::function<base::result<void>(std::uint64_t, std::size_t)> write_;
     int calls_ = 0;
 };
 
@@ -198,6 +205,57 @@
     CHECK(read->streams[0].valid_for == stream.valid_for);
 }
 
+TEST_CASE("origins that could not be written go to the store with the next ones, after those that it holds") {
+    struct write_call {
+        std::uint64_t batch = 0;
+        std::size_t streams = 0;
+        bool written = false;
+    };
+    base::ring<dispatch::event> events(4);
+    base::ring<dispatch::stream_order> orders(4);
+    base::ring<write_call> writes(100);
+    std::atomic<bool> down{true};
+    std::unique_ptr<scripted_directory> directory = std::make_unique<scripted_directory>([](int) {
+        return store::catalogue_reading{store::position(1), nullptr};
+    });
+    directory->on_write([&](std::uint64_t batch, std::size_t streams) -> base::result<void> {
+        const bool fails = down;
+        writes.try_push({batch, streams, !fails});
+        return fails ? base::failure(base::error_code::store_answer_lost, "", "") : base::result<void>();
+    });
+    store::stream_recorder recorder(std::move(directory), events, orders, 1);
+    base::stop_signal stop;
+    std::thread runner([&] { recorder.run(stop); });
+    const base::scope_guard end([&] {
+        stop.request();
+        recorder.interrupt();
+        runner.join();
+    });
+    // Returns the first call that the condition holds for; they fail until then.
+    const auto await = [&](const std::function<bool(const write_call&)>& condition) {
+        std::optional<write_call> call = writes.pop(seconds(3));
+        while (call && !condition(*call)) {
+            call = writes.pop(seconds(3));
+        }
+        return call.value_or(write_call{});
+    };
+    const decision::begun_stream stream{base::stream_key(1), base::pool_id("s"), base::software_version("v1"),
+                                        seconds(9)};
+    orders.push({true, {stream}}, seconds(1));
+    const std::optional<dispatch::event> read = events.pop(seconds(3));
+    REQUIRE(read);
+    CHECK(std::holds_alternative<dispatch::streams_read>(*read));
+    CHECK(await([](const write_call&) { return true; }).batch == 134);
+    orders.push({false, {stream, stream}}, seconds(1));
+    CHECK(await([](const write_call& call) { return call.streams == 3; }).batch == 134);
+    down = false;
+    CHECK(await([](const write_call& call) { return call.written; }).streams == 3);
+    orders.push({false, {stream}}, seconds(1));
+    const write_call next = await([](const write_call&) { return true; });
+    CHECK(next.batch == 135);
+    CHECK(next.streams == 1);
+}
+
 TEST_CASE("a watch reports changes and removals with the position of the answer") {
     fixture store;
     base::result<store::roster_changes> result;
