--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -599,7 +599,7 @@
                 continue;
             }
             if (origin_left(request)) {
-                refuse_resumption(request, error_code::stream_version_gone);
+                refuse_as_left(request);
                 continue;
             }
             if (failures < max_failures_per_pass && try_place(request)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -196,8 +196,12 @@
     /// Draws whether the request is admitted while its account requests more than it gets. Returns false if
     /// it was refused.
     bool draw_resumption(session& request);
+    /// Returns true if no upstream of the version that began the stream takes work.
     [[nodiscard]] bool origin_left(const session& request) const;
-    void refuse_resumption(session& request, base::error_code cause);
+    void refuse_as_left(session& request);
+    /// Refuses a request whose stream cannot go on. `learning` is set if this router may know more soon.
+    void refuse_resumption(session& request, base::error_code cause, bool learning);
+    /// Asks routers that hold all origins for that of the request's stream.
     void query_origin(session& request);
     void serve_awaiting_origin();
     /// When the first request has waited long enough for its origin.
--- a/src/dispatch/resumption.cpp
+++ b/src/dispatch/resumption.cpp
@@ -63,7 +63,7 @@
         return adopt_origin(request, *origin) && draw_resumption(request);
     }
     if (!request.stream || (holds_origins() && origins_read_)) {
-        refuse_resumption(request, error_code::stream_unknown);
+        refuse_resumption(request, error_code::stream_unknown, false);
         return false;
     }
     request.state = stage::awaiting_origin;
@@ -96,7 +96,7 @@
     request.pool = origin.pool;
     request.needs_engine = catalogue_->engine(origin.pool) != nullptr;
     if (!on_route || origin_left(request)) {
-        refuse_resumption(request, error_code::stream_version_gone);
+        refuse_as_left(request);
         return false;
     }
     return true;
@@ -117,11 +117,13 @@
     return request.origin && !placement_.serves(request.origin->pool, request.origin->version);
 }
 
-/// A caller whose stream cannot go on gets no time to come back, since nothing would have changed. While this
-/// router still learns of streams and upstreams, something would have.
-void dispatcher::refuse_resumption(session& request, error_code cause) {
-    const bool learning = roster_.entries().empty() || (holds_origins() && !origins_read_) ||
-                          request.state == stage::awaiting_origin;
+/// Before the first list of upstreams, every version seems to have left.
+void dispatcher::refuse_as_left(session& request) {
+    refuse_resumption(request, error_code::stream_version_gone, roster_.entries().empty());
+}
+
+/// A caller gets a time to come back only if this router may know more by then.
+void dispatcher::refuse_resumption(session& request, error_code cause, bool learning) {
     std::optional<base::duration> retry_after;
     if (learning) {
         std::uniform_int_distribution<base::duration::rep> spread(0, learning_return_time.count());
@@ -147,8 +149,7 @@
         }
         awaiting_origin_.erase(id);
         if (origin == nullptr) {
-            request.state = answered ? stage::queued : stage::awaiting_origin;
-            refuse_resumption(request, error_code::stream_unknown);
+            refuse_resumption(request, error_code::stream_unknown, !answered);
         } else if (adopt_origin(request, *origin) && draw_resumption(request)) {
             place_or_enqueue(request);
         }
