--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -38,6 +38,10 @@
         return "no_upstream";
     case error_code::poison_request:
         return "poison_request";
+    case error_code::stream_unknown:
+        return "stream_unknown";
+    case error_code::stream_version_gone:
+        return "stream_version_gone";
     case error_code::deadline_exceeded:
         return "deadline_exceeded";
     case error_code::caller_gone:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -29,6 +29,8 @@
     router_isolated,
     no_upstream,
     poison_request,
+    stream_unknown,
+    stream_version_gone,
     deadline_exceeded,
     caller_gone,
     caller_too_slow,
--- a/src/decision/message.h
+++ b/src/decision/message.h
@@ -324,9 +324,34 @@
     bool aggregated = false;
 };
 
+/// A stream that has begun and that its caller may still resume.
+struct begun_stream {
+    base::stream_key key;
+    /// Service and software at which it began; it may go on only there.
+    base::pool_id pool;
+    base::software_version version;
+    /// How long its caller may still resume it.
+    base::duration valid_for{};
+};
+
+/// Streams that the sender knows the origin of: those that have begun there, or the answer to a query.
+struct begun_streams {
+    std::vector<begun_stream> streams;
+};
+
+/// Asks a router that holds the origins of all streams for one of them.
+struct origin_query {
+    base::stream_key key;
+};
+
+/// Answer to an `origin_query`: the sender does not know the stream.
+struct origin_unknown {
+    base::stream_key key;
+};
+
 using message = std::variant<ping, ack, ping_request, bid, grant, release, usage, usage_total, claim,
                              claim_result, settle, settle_ack, crash_report, work_report, crash_news,
-                             limit_report, upstream_list_update>;
+                             limit_report, upstream_list_update, begun_streams, origin_query, origin_unknown>;
 
 /// Virtual time of a pool.
 struct pool_time {
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -284,6 +284,9 @@
 void router::receive(const message_header& /*header*/, const crash_news& /*body*/) {}
 void router::receive(const message_header& /*header*/, const limit_report& /*body*/) {}
 void router::receive(const message_header& /*header*/, const upstream_list_update& /*body*/) {}
+void router::receive(const message_header& /*header*/, const begun_streams& /*body*/) {}
+void router::receive(const message_header& /*header*/, const origin_query& /*body*/) {}
+void router::receive(const message_header& /*header*/, const origin_unknown& /*body*/) {}
 
 /// Forwards a crash report to a few random peers. Each router forwards a report once, so that it spreads to
 /// all routers.
--- a/src/decision/router.h
+++ b/src/decision/router.h
@@ -114,6 +114,9 @@
     void receive(const message_header& header, const crash_news& body);
     void receive(const message_header& header, const limit_report& body);
     void receive(const message_header& header, const upstream_list_update& body);
+    void receive(const message_header& header, const begun_streams& body);
+    void receive(const message_header& header, const origin_query& body);
+    void receive(const message_header& header, const origin_unknown& body);
 
     /// Returns the reason why new requests are refused, or nothing if they are accepted.
     [[nodiscard]] std::optional<base::error> refusal_reason() const;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -200,7 +200,7 @@
         const auto found = sessions_.find(deadlines_.begin()->second);
         if (found == sessions_.end()) {
             deadlines_.erase(deadlines_.begin());
-        } else if (found->second.state == stage::queued) {
+        } else if (found->second.state != stage::sent) {
             end_session(found->second, 503, error_code::deadline_exceeded);
         } else {
             end_session(found->second, 504, error_code::deadline_exceeded);
@@ -239,11 +239,15 @@
         send_crash_news();
         send_report();
         send_limits();
+        send_origins();
         next_report_ = now + bounds_.report_interval;
     }
     if (now >= list_updates_due()) {
         send_list_updates();
     }
+    if (now >= origins_due()) {
+        serve_awaiting_origin();
+    }
     if (now >= next_queue_pass_) {
         serve_queues();
         next_queue_pass_ = now + min_queue_pass_interval;
@@ -252,7 +256,8 @@
 }
 
 base::time_point dispatcher::next_due() const {
-    base::time_point due = std::min({members_.next_due(), next_report_, news_due(), list_updates_due()});
+    base::time_point due =
+        std::min({members_.next_due(), next_report_, news_due(), list_updates_due(), origins_due()});
     if (!deadlines_.empty()) {
         due = std::min(due, deadlines_.begin()->first);
     }
@@ -348,8 +353,10 @@
     if (request.caller_timeout) {
         created.earlier_attempts_time = attempt_estimates_[matched->id].record(*request.caller_timeout);
     }
-    created.deadline =
-        request.arrived + std::min(request.caller_timeout.value_or(matched->timeout), matched->timeout);
+    created.caller_deadline = request.arrived + request.caller_timeout.value_or(matched->timeout);
+    created.deadline = std::min(created.caller_deadline, request.arrived + matched->timeout);
+    created.resumes = request.resumes && matched->kind == route_kind::streaming;
+    created.stream = request.stream;
     created.needs_engine = catalogue_->engine(created.pool) != nullptr;
     created.cost = created.needs_engine ? model_request_cost(request.prompt) : base::cost(plain_request_cost);
     created.memory_tokens = request.prompt.prompt_tokens + expected_output(request.prompt);
@@ -369,8 +376,14 @@
     }
     session& accepted = sessions_.emplace(request.id, std::move(created)).first->second;
     deadlines_.emplace(accepted.deadline, accepted.id);
-    if (!try_place(accepted) && !refuse_if_paused(accepted)) {
-        enqueue(accepted);
+    if (!accepted.resumes || resume(accepted)) {
+        place_or_enqueue(accepted);
+    }
+}
+
+void dispatcher::place_or_enqueue(session& request) {
+    if (!try_place(request) && !refuse_if_paused(request)) {
+        enqueue(request);
     }
 }
 
@@ -471,7 +484,7 @@
     placement_needs.prompt = &request.prompt;
     placement_needs.memory_tokens = request.memory_tokens;
     placement_needs.excluded = &request.tried_upstreams;
-    placement_needs.version = request.stream_version ? &*request.stream_version : nullptr;
+    placement_needs.version = request.origin ? &request.origin->version : nullptr;
     placement_needs.capacity_share = capacity_share(request, late);
     const base::duration elapsed = request.earlier_attempts_time + (now_ - request.arrived);
     placement_needs.latency_target =
@@ -569,6 +582,10 @@
                 refuse_for_stop(request);
                 continue;
             }
+            if (origin_left(request)) {
+                refuse_resumption(request, error_code::stream_version_gone);
+                continue;
+            }
             if (failures < max_failures_per_pass && try_place(request)) {
                 continue;
             }
@@ -655,9 +672,6 @@
     session& request = found->second;
     release_placed_work(request);
     request.tried_upstreams.insert(request.target);
-    if (attempt.events > 0 && !request.stream_version) {
-        request.stream_version = request.target_version;
-    }
     ++counters_[std::string(dispatch::to_string(attempt.outcome))];
     switch (attempt.outcome) {
     case attempt_outcome::delivered:
@@ -665,6 +679,9 @@
             placement_.record_success(request.target);
         }
         record_answered(request);
+        if (request.stream && !request.resumes) {
+            origins_.record_end(*request.stream);
+        }
         base::log_event(log_level::info, "dispatcher", "delivered",
                         {{"request", request.caller_request_id},
                          {"status", attempt.status},
@@ -677,6 +694,8 @@
                           to_ms((request.answering ? request.answering_since : now_) - request.arrived)},
                          {"total_ms", to_ms(now_ - request.arrived)},
                          {"events", attempt.events},
+                         {"resumes", request.resumes},
+                         {"stream_version", request.origin ? request.origin->version.value() : std::string()},
                          {"longest_pause_ms", to_ms(attempt.longest_pause)},
                          {"route", request.route->id.value()},
                          {"version", request.accepted_catalogue->version.value()}});
@@ -747,7 +766,7 @@
                          attempt.outcome == attempt_outcome::misdirected;
     const bool may_go_on = request.route->kind == route_kind::streaming && request.route->resumable &&
                            attempt.position_known &&
-                           (!request.stream_version || !request.stream_version->value().empty());
+                           (!request.origin || !request.origin->version.value().empty());
     const bool may_run_again =
         attempt.outcome == attempt_outcome::cut ? may_go_on : request.route->repeatable();
     if ((!not_run && !may_run_again) || request.upstreams_used >= request.route->max_attempts ||
@@ -762,7 +781,7 @@
     placement_needs.prompt = &request.prompt;
     placement_needs.memory_tokens = request.memory_tokens;
     placement_needs.excluded = &request.tried_upstreams;
-    placement_needs.version = request.stream_version ? &*request.stream_version : nullptr;
+    placement_needs.version = request.origin ? &request.origin->version : nullptr;
     const placement_options options = placement_.consider(placement_needs, now_);
     if (!options.best) {
         request.limit = find_limit(request, options);
@@ -813,6 +832,8 @@
                      {"attempts", request.attempt},
                      {"waited_ms", to_ms(now_ - request.arrived)},
                      {"limit", to_string(request.limit)},
+                     {"resumes", request.resumes},
+                     {"stream_version", request.origin ? request.origin->version.value() : std::string()},
                      {"earlier_attempts_ms", to_ms(request.earlier_attempts_time)},
                      {"tokens", request.cost.value()},
                      {"account", request.account.value()},
@@ -948,6 +969,15 @@
         receive_limits(received.payload);
     } else if (std::holds_alternative<decision::upstream_list_update>(received.payload.body)) {
         receive_list_update(received.payload);
+    } else if (const decision::begun_streams* const streams =
+                   std::get_if<decision::begun_streams>(&received.payload.body)) {
+        receive(*streams);
+    } else if (const decision::origin_query* const query =
+                   std::get_if<decision::origin_query>(&received.payload.body)) {
+        answer_origin_query(received.payload.header.sender, *query);
+    } else if (const decision::origin_unknown* const unknown =
+                   std::get_if<decision::origin_unknown>(&received.payload.body)) {
+        receive(*unknown);
     }
 }
 
@@ -956,6 +986,7 @@
     fair_share_.drop_peer(peer);
     limits_.drop_peer(peer);
     feed_.remove_reporter(peer);
+    informed_holders_.erase(peer);
 }
 
 /// Records that `version` was confirmed to be the newest one at `confirmed_at`; pending until this router has
@@ -1069,6 +1100,7 @@
         make_value("age_ms", catalogue_confirmed_at_ ? to_ms(now - *catalogue_confirmed_at_) : -1));
     view.values.push_back(make_value("members", static_cast<double>(members_.live().size())));
     view.values.push_back(make_value("upstreams", static_cast<double>(roster_.entries().size())));
+    view.values.push_back(make_value("known_streams", static_cast<double>(origins_.size())));
     view.values.push_back(make_value("limited_upstreams", static_cast<double>(limits_.count())));
     view.values.push_back(make_value("pressure", fair_share_.pressure()));
     const std::optional<worst_served_account> worst = fair_share_.worst_served(now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "dispatch/drain.h"
 #include "dispatch/event.h"
 #include "dispatch/feed.h"
+#include "dispatch/origins.h"
 #include "dispatch/placement.h"
 #include "dispatch/share.h"
 
@@ -47,6 +48,8 @@
     std::optional<follow_order> catalogue_order;
     /// Set if the follower of the list of upstreams has to change how it keeps its view.
     std::optional<follow_order> roster_order;
+    /// Set if origins of streams have to be read from the store or written to it.
+    std::optional<stream_order> streams_order;
 };
 
 /// All decisions on requests of one router: typed events in, typed commands out. No I/O, no clock.
@@ -78,7 +81,11 @@
     [[nodiscard]] std::size_t sessions() const { return sessions_.size(); }
 
 private:
-    enum class stage { queued, sent };
+    enum class stage {
+        queued,
+        sent,
+        awaiting_origin, ///< it resumes a stream whose origin this router is finding out
+    };
     /// Why a request was not placed when this was last tried.
     enum class placement_limit {
         none,        ///< it was placed, or this was not tried
@@ -119,8 +126,16 @@
         base::upstream_id target;
         /// Software of the target, as listed when the request was sent.
         base::software_version target_version;
-        /// Software that wrote the events which the caller has; empty while it has none.
-        std::optional<base::software_version> stream_version;
+        /// Whether the request resumes a stream, and the stream that it resumes or may begin.
+        bool resumes = false;
+        std::optional<base::stream_key> stream;
+        /// Where the events which the caller has were written; empty while it has none.
+        std::optional<stream_origin> origin;
+        /// Until when a router that is asked may answer where the stream began, and how many still have to.
+        base::time_point origin_due;
+        std::size_t origin_answers_due = 0;
+        /// Until when the caller waits; its route may give the request less time.
+        base::time_point caller_deadline;
         placed_work placed;
         token_count tokens_ahead;
         base::time_point sent_at;
@@ -150,12 +165,14 @@
     void on(const requests_refused& refused);
     void on(const caller_left& departure);
     void on(const answer_started& start);
+    void on(const stream_began& start);
     void on(const upstream_stated& stated);
     void on(const attempt_finished& attempt);
     void on(const catalogue_read& reading);
     void on(const roster_read& reading);
     void on(const roster_changed& reading);
     void on(const peers_read& reading);
+    void on(const streams_read& reading);
     void on(const decision::message_received& received);
     void on(const decision::drain_requested& request);
     void on(const decision::report_requested& request);
@@ -170,6 +187,28 @@
     [[nodiscard]] std::optional<base::error_code> check_access(const request_read& request,
                                                                const route& matched) const;
     const base::pool_id& pick_pool(const route& matched);
+    /// Decides on a request that resumes a stream. Returns true if its origin is known, so that it may be
+    /// placed there; otherwise it was refused, or waits for an answer.
+    bool resume(session& request);
+    /// Binds the request to the origin of its stream. Returns false if it was refused since the origin cannot
+    /// serve it any more.
+    bool adopt_origin(session& request, const stream_origin& origin);
+    [[nodiscard]] bool origin_left(const session& request) const;
+    void refuse_resumption(session& request, base::error_code cause);
+    void query_origin(session& request);
+    void serve_awaiting_origin();
+    /// When the first request has waited long enough for its origin.
+    [[nodiscard]] base::time_point origins_due() const;
+    [[nodiscard]] bool holds_origins() const;
+    /// Routers that hold the origins of all streams, this one included if it does.
+    [[nodiscard]] std::set<base::vm_id> origin_holders() const;
+    void receive(const decision::begun_streams& report);
+    void receive(const decision::origin_unknown& answer);
+    void answer_origin_query(const base::vm_id& from, const decision::origin_query& query);
+    void send_origins();
+    void update_stream_order(const std::set<base::vm_id>& holders);
+    /// Places the request, or lets it wait for capacity.
+    void place_or_enqueue(session& request);
     bool try_place(session& request);
     /// What keeps a request, for which `options` has no choice that `admit` accepts, from being placed.
     [[nodiscard]] placement_limit find_limit(const session& request, const placement_options& options) const;
@@ -288,6 +327,15 @@
     admission_table_ptr admission_;
     decision::retry_budget retry_budget_;
     crash_attribution crashes_;
+    stream_origins origins_;
+    /// Requests in the stage `awaiting_origin`.
+    std::set<session_id> awaiting_origin_;
+    /// Routers that hold all origins and have got those of this router.
+    std::set<base::vm_id> informed_holders_;
+    /// Reading the origins from the store was ordered, and has succeeded.
+    bool origins_ordered_ = false;
+    bool origins_read_ = false;
+    base::time_point next_origin_write_;
     base::time_point next_crash_news_;
     std::unordered_map<session_id, session> sessions_;
     std::set<std::pair<base::time_point, session_id>> deadlines_;
--- a/src/dispatch/drain.cpp
+++ b/src/dispatch/drain.cpp
@@ -90,7 +90,7 @@
     }
     for (const session_id id : open) {
         session& request = sessions_.at(id);
-        if (request.state == stage::queued) {
+        if (request.state != stage::sent) {
             refuse_for_stop(request);
         } else {
             end_session(request, 504, error_code::draining);
--- a/src/dispatch/event.h
+++ b/src/dispatch/event.h
@@ -4,6 +4,7 @@
 #include "base/id.h"
 #include "base/ring.h"
 #include "decision/event.h"
+#include "decision/message.h"
 #include "dispatch/catalogue.h"
 #include "dispatch/roster.h"
 
@@ -56,6 +57,11 @@
     /// How long the caller waits for the answer; empty if the request does not state it.
     std::optional<base::duration> caller_timeout;
     prompt_info prompt;
+    /// The caller has a part of a stream and wants the rest.
+    bool resumes = false;
+    /// The stream that it resumes, or else the one that this request may begin; empty if the caller does not
+    /// name it.
+    std::optional<base::stream_key> stream;
     /// Hash of caller, path and body; identifies repetitions of the same request.
     base::fingerprint fingerprint;
     base::time_point arrived;
@@ -96,6 +102,14 @@
     std::uint32_t attempt = 0;
 };
 
+/// The first event of a resumable stream is passed on to the caller.
+struct stream_began {
+    session_id id;
+    std::uint32_t attempt = 0;
+    /// False if the upstream does not say whether it is the process that the list shows.
+    bool process_known = true;
+};
+
 /// What an upstream states about itself in the head of an answer.
 struct upstream_statement {
     /// It ends soon and takes no new requests.
@@ -172,6 +186,11 @@
     std::vector<decision::vm_entry> peers;
 };
 
+/// The origins of streams that the store holds were read.
+struct streams_read {
+    std::vector<decision::begun_stream> streams;
+};
+
 /// Limits that may change while the router runs.
 struct dispatcher_bounds {
     /// Highest confirmation age of the configuration at which keys are accepted.
@@ -191,9 +210,9 @@
 struct relay_started {};
 
 using event = std::variant<relay_started, dispatcher_bounds, request_read, requests_refused, caller_left,
-                           answer_started, upstream_stated, attempt_finished, catalogue_read, roster_read,
-                           roster_changed, peers_read, decision::message_received, decision::drain_requested,
-                           decision::report_requested>;
+                           answer_started, stream_began, upstream_stated, attempt_finished, catalogue_read,
+                           roster_read, roster_changed, peers_read, streams_read, decision::message_received,
+                           decision::drain_requested, decision::report_requested>;
 
 // Commands that the dispatcher issues to the relay and to the followers of the store.
 
@@ -258,6 +277,12 @@
     }
 };
 
+/// Reads the origins of streams from the store, or adds some to it.
+struct stream_order {
+    bool read = false;
+    std::vector<decision::begun_stream> write;
+};
+
 using relay_command = std::variant<send_request, release_answer, end_request, retire_upstream>;
 
 } // namespace bluebell::dispatch
--- a/src/dispatch/worker.cpp
+++ b/src/dispatch/worker.cpp
@@ -66,6 +66,9 @@
     if (output.roster_order) {
         links_.roster_orders.try_push(std::move(*output.roster_order));
     }
+    if (output.streams_order) {
+        links_.stream_orders.try_push(std::move(*output.streams_order));
+    }
     // A report that is lost here is replaced by the next one.
     for (decision::datagram& datagram : output.datagrams) {
         links_.datagrams.try_push(std::move(datagram));
--- a/src/dispatch/worker.h
+++ b/src/dispatch/worker.h
@@ -32,6 +32,7 @@
     base::ring<decision::datagram>& datagrams;
     base::ring<follow_order>& catalogue_orders;
     base::ring<follow_order>& roster_orders;
+    base::ring<stream_order>& stream_orders;
     base::snapshot<router_state>& state;
 };
 
--- a/src/fleet/codec.cpp
+++ b/src/fleet/codec.cpp
@@ -214,6 +214,16 @@
     id = base::fingerprint(value);
 }
 
+void write(output_archive& out, const base::stream_key& key) {
+    out(key.value());
+}
+
+void read(input_archive& in, base::stream_key& key) {
+    std::uint64_t value = 0;
+    in(value);
+    key = base::stream_key(value);
+}
+
 void write(output_archive& out, const decision::endpoint& value) {
     in_addr packed{};
     std::array<char, INET_ADDRSTRLEN> text{};
@@ -830,6 +840,46 @@
     }
 }
 
+void write(output_archive& out, const decision::begun_streams& body) {
+    const name_table<base::pool_id> pools(body.streams, &decision::begun_stream::pool);
+    const name_table<base::software_version> versions(body.streams, &decision::begun_stream::version);
+    pools.write_names(out);
+    versions.write_names(out);
+    write_list(out, body.streams, [&](const decision::begun_stream& stream) {
+        write(out, stream.key);
+        pools.write_index(out, stream.pool);
+        versions.write_index(out, stream.version);
+        write_age(out, stream.valid_for);
+    });
+}
+
+void read(input_archive& in, decision::begun_streams& body) {
+    const name_table<base::pool_id> pools(in);
+    const name_table<base::software_version> versions(in);
+    read_list(in, body.streams, max_list_entries, [&](decision::begun_stream& stream) {
+        read(in, stream.key);
+        pools.read_index(in, stream.pool);
+        versions.read_index(in, stream.version);
+        read_age(in, stream.valid_for);
+    });
+}
+
+void write(output_archive& out, const decision::origin_query& body) {
+    write(out, body.key);
+}
+
+void read(input_archive& in, decision::origin_query& body) {
+    read(in, body.key);
+}
+
+void write(output_archive& out, const decision::origin_unknown& body) {
+    write(out, body.key);
+}
+
+void read(input_archive& in, decision::origin_unknown& body) {
+    read(in, body.key);
+}
+
 // Header.
 
 void write(output_archive& out, const decision::message_header& header) {
@@ -963,6 +1013,12 @@
         rest_ = std::move(rest);
         return divided;
     }
+    bool operator()(decision::begun_streams& body) const {
+        decision::begun_streams rest{split_half(body.streams)};
+        const bool divided = !rest.streams.empty();
+        rest_ = std::move(rest);
+        return divided;
+    }
     template <typename Other>
     bool operator()(Other& /*body*/) const {
         return false;
@@ -1001,7 +1057,10 @@
                                                                      "work_report",
                                                                      "crash_news",
                                                                      "limit_report",
-                                                                     "upstream_list_update"};
+                                                                     "upstream_list_update",
+                                                                     "begun_streams",
+                                                                     "origin_query",
+                                                                     "origin_unknown"};
     return names.at(kind);
 }
 
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -5,6 +5,7 @@
 #include "dispatch/event.h"
 #include "http/parser.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,9 @@
     std::optional<base::duration> caller_timeout;
     /// Id of the event after which the caller wants its stream to go on; empty for a whole stream.
     std::string resume_after;
+    /// Id of the caller's request that brought the first event of the stream that it resumes; empty if not
+    /// stated.
+    std::string resumed_request;
     dispatch::prompt_info prompt;
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -206,6 +206,11 @@
     event.key = info->api_key;
     event.caller_timeout = info->caller_timeout;
     event.prompt = info->prompt;
+    event.resumes = !info->resume_after.empty();
+    const std::string& first_request = event.resumes ? info->resumed_request : info->caller_request_id;
+    if (!first_request.empty()) {
+        event.stream = base::stream_key(base::stable_hash(first_request));
+    }
     event.fingerprint = base::fingerprint(
         base::stable_hash(body, base::stable_hash(head.target, base::stable_hash(info->api_key))));
     event.arrived = created->received_at;
@@ -533,6 +538,10 @@
     const dispatch::session_id id = session.id;
     const bool split = session.command.resumable || carries_events(session);
     const std::string whole = split ? session.splitter.feed(bytes) : std::string();
+    if (session.command.resumable && session.splitter.event_count() > 0 &&
+        !std::exchange(session.stream_begun, true)) {
+        push_event(dispatch::stream_began{session.id, session.command.attempt, session.process_known});
+    }
     recipient->append_body(session.command.resumable ? std::string_view(whole) : bytes);
     // Writing to the caller can fail, which removes the exchange.
     if (find(id) == nullptr || upstream_link == nullptr) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -77,6 +77,12 @@
         bool head_sent = false;
         /// Set once the time to the first event was recorded in the metrics.
         bool first_event_observed = false;
+        /// Set while the upstream is asked which of its processes the connection leads to.
+        bool checking_process = false;
+        /// Set unless the upstream does not say which of its processes it is.
+        bool process_known = true;
+        /// Set once the first event of a resumable stream was reported.
+        bool stream_begun = false;
         /// Set once a part of the body was forwarded in this attempt.
         bool attempt_body_started = false;
         /// Number of whole events of the answer before this attempt.
--- a/src/root/node.cpp
+++ b/src/root/node.cpp
@@ -7,6 +7,7 @@
 #include "relay/ops.h"
 #include "root/identity.h"
 #include "store/follower.h"
+#include "store/recorder.h"
 
 #include <chrono>
 #include <optional>
@@ -164,7 +165,7 @@
 node::node(node_options settings, node_adapters adapters)
     : settings_(std::move(settings)), adapters_(std::move(adapters)), codec_(settings_.fleet),
       events_(event_capacity), commands_(command_capacity), datagrams_(datagram_capacity),
-      catalogue_orders_(order_capacity), roster_orders_(order_capacity),
+      catalogue_orders_(order_capacity), roster_orders_(order_capacity), stream_orders_(order_capacity),
       root_("root", base::restart_strategy::rest_for_one, root_limit, clock_) {
     reloaded_options_.publish(std::make_shared<const node_options>(settings_));
     // The other branches supply the dispatcher with its input, so they are added after it and restart with
@@ -206,6 +207,8 @@
         adapters_.directory(clock_), store::follower_links{events_, roster_orders_}, clock_, roster));
     supervisor->add(
         std::make_unique<store::registrar>(adapters_.directory(clock_), events_, self, system_seed()));
+    supervisor->add(std::make_unique<store::stream_recorder>(adapters_.directory(clock_), events_,
+                                                             stream_orders_, system_seed()));
     root_.add(std::move(supervisor));
 }
 
@@ -223,7 +226,8 @@
         std::make_unique<base::supervisor>("dispatch", base::restart_strategy::one_for_one,
                                            base::restart_limit{0, std::chrono::seconds(10)}, clock_);
     supervisor->add(std::make_unique<dispatch::dispatch_worker>(
-        dispatch::dispatch_links{events_, commands_, datagrams_, catalogue_orders_, roster_orders_, state_},
+        dispatch::dispatch_links{events_, commands_, datagrams_, catalogue_orders_, roster_orders_,
+                                 stream_orders_, state_},
         [this] { return dispatcher_options(); }, clock_));
     root_.add(std::move(supervisor));
 }
--- a/src/store/directory.h
+++ b/src/store/directory.h
@@ -7,6 +7,7 @@
 #include "dispatch/event.h"
 #include "dispatch/roster.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace bluebell::store {
@@ -33,6 +34,14 @@
     std::vector<dispatch::upstream_change> changes;
 };
 
+/// Origins of streams that the routers have added to the store, in numbered batches of which the oldest are
+/// replaced.
+struct stored_streams {
+    /// Number of the batch that comes next.
+    std::uint64_t next_batch = 0;
+    std::vector<decision::begun_stream> streams;
+};
+
 /// Access of the routers to the platform's store. Every call may block up to its time limit.
 ///
 /// Errors of every call: `store_unavailable` and `store_rate_limited` (the call had no effect),
@@ -61,6 +70,12 @@
     virtual base::result<std::vector<decision::vm_entry>> read_routers(bool exact) = 0;
     /// Adds the entry of this router, or replaces it.
     virtual base::result<void> announce_router(const decision::vm_entry& self) = 0;
+    /// Reads the origins of streams that are in the store. How long each may still be resumed counts from
+    /// when it was written, so that the result states rather too much.
+    virtual base::result<stored_streams> read_streams() = 0;
+    /// Adds a batch of origins, which replaces an old one.
+    virtual base::result<void> write_streams(std::uint64_t batch,
+                                             const std::vector<decision::begun_stream>& streams) = 0;
     /// Makes the call in progress and all later ones fail at once.
     virtual void interrupt() = 0;
 };
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -145,6 +145,9 @@
         const send_request* const order = sent(id);
         REQUIRE(order != nullptr);
         handle(answer_started{id, order->attempt});
+        if (events > 0) {
+            handle(stream_began{id, order->attempt});
+        }
         attempt_finished finished;
         finished.id = id;
         finished.attempt = order->attempt;
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -1,7 +1,9 @@
+#include "platform/decode.h"
 #include "platform/objects.h"
 #include "store/follower.h"
 #include "wire.h"
 
+#include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
@@ -123,6 +125,11 @@
         return std::vector<decision::vm_entry>{};
     }
     base::result<void> announce_router(const decision::vm_entry& /*self*/) override { return {}; }
+    base::result<store::stored_streams> read_streams() override { return store::stored_streams{}; }
+    base::result<void> write_streams(std::uint64_t /*batch*/,
+                                     const std::vector<decision::begun_stream>& /*streams*/) override {
+        return {};
+    }
     void interrupt() override {}
 
 private:
@@ -148,6 +155,49 @@
     CHECK(requests[1].find("after=b") != std::string::npos);
 }
 
+TEST_CASE("origins of streams are read from all batches, and a malformed batch hides no other") {
+    fixture store;
+    base::result<store::stored_streams> result;
+    const std::string batch =
+        R"({"metadata":{"name":"batch-6"},"spec":{"number":134,"origins":[{"service":"s","version":"v1",)"
+        R"("streams_ms":{"ffffffffffffffff":9000,"1f":1}},{"service":"s","version":"v2",)"
+        R"("streams_ms":{"2":5000}}]}})";
+    const std::string odd =
+        R"({"metadata":{"name":"batch-7"},"spec":{"number":135,"origins":[{"service":"s","version":"v1",)"
+        R"("streams_ms":{"x":9000}}]}})";
+    const std::vector<std::string> requests =
+        store.serve({answer(200, R"({"entries":[)" + batch + "," + odd + R"(],"has_more":false,"at":9})")},
+                    [&] { result = store.client.read_streams(); });
+    REQUIRE(result);
+    CHECK(result->next_batch == 135);
+    REQUIRE(result->streams.size() == 3);
+    const auto found = std::find_if(result->streams.begin(), result->streams.end(),
+                                    [](const auto& one) { return one.key == base::stream_key(~0ULL); });
+    REQUIRE(found != result->streams.end());
+    CHECK(found->version.value() == "v1");
+    CHECK(found->valid_for == std::chrono::seconds(9));
+    CHECK(requests[0].find("serializable") == std::string::npos);
+}
+
+TEST_CASE("a batch of origins replaces an old one, and its text can be read again") {
+    fixture store;
+    const decision::begun_stream stream{base::stream_key(~0ULL), base::pool_id("s"),
+                                        base::software_version("v1"), milliseconds(1500)};
+    base::result<void> written;
+    const std::vector<std::string> requests = store.serve(
+        {answer(409, "{}"), answer(200, "{}")}, [&] { written = store.client.write_streams(130, {stream}); });
+    CHECK(written);
+    CHECK(requests[0].find("POST /api/objects/streams ") != std::string::npos);
+    CHECK(requests[1].find("PUT /api/objects/streams/batch-2 ") != std::string::npos);
+    const base::result<platform::stream_batch> read =
+        platform::decode_streams("batch-2", platform::encode_streams({130, {stream}}));
+    REQUIRE(read);
+    CHECK(read->number == 130);
+    REQUIRE(read->streams.size() == 1);
+    CHECK(read->streams[0].key == stream.key);
+    CHECK(read->streams[0].valid_for == stream.valid_for);
+}
+
 TEST_CASE("a watch reports changes and removals with the position of the answer") {
     fixture store;
     base::result<store::roster_changes> result;
